--- /dev/null
+++ b/src/bulletin/reader.h
@@ -0,0 +1,56 @@
+// The directory of this deployment: reads the bulletin's server-sent events over HTTP.
+#pragma once
+
+#include <http_parser.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "bulletin/roster.h"
+#include "config/config.h"
+#include "engine/ports.h"
+#include "net/connection.h"
+
+namespace willowrail {
+
+class BulletinReader final : public Directory, public Connection::Handler {
+ public:
+  BulletinReader(Loop* loop, const Config& config, DirectoryEvents* events);
+
+  // Tells the engine the list of the configuration, as it was known at the start.
+  void TellKnown(const nlohmann::json& known);
+
+  void Subscribe(bool active) override;
+  void Fetch() override;
+
+ private:
+  void OnUp(Connection& connection) override;
+  std::size_t OnData(Connection& connection, std::string_view data) override;
+  void OnEnd(Connection& connection, Ending ending) override;
+
+  void Connect();
+  void Hear();
+  void Break(const char* why);
+  void Body(std::string_view piece);
+  void LineIn(std::string_view line);
+  void EventIn();
+  void AnswerCall();
+  void Tell(passbridge::RosterKind kind, const Roster::Change& change);
+
+  Loop* loop_;
+  sockaddr_in address_;
+  std::string host_;
+  DirectoryEvents* events_;
+  Roster roster_;
+  bool asked_ = false;   // a call waits for its answer
+  bool failed_ = false;  // what came in cannot be read
+  std::unique_ptr<Connection> connection_;
+  http_parser parser_{};
+  http_parser_settings callbacks_{};
+  std::string line_, data_;  // they outlive the buffer they came in
+  Time heard_ = 0;
+  Handle silence_ = 0;
+};
+
+}  // namespace willowrail
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,94 @@
+#include "config/config.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <stdexcept>
+
+#include "net/connection.h"
+#include "wire/settings.h"
+
+namespace willowrail {
+namespace {
+
+using nlohmann::json;
+
+// A plain value as the wire writes it. Spaces and commas would split there, so they turn into _.
+std::string Plain(const json& value) {
+  if (value.is_null()) return "-";
+  std::string text = value.is_string() ? value.get<std::string>() : value.dump();
+  std::ranges::replace_if(text, [](char c) { return c == ' ' || c == ',' || c == '\t' || c == '\n'; }, '_');
+  return text;
+}
+
+void FlattenInto(const std::string& path, const json& value, std::string* out) {
+  const std::string below = path.empty() ? "" : path + ".";
+  if (value.is_object()) {
+    for (const auto& [key, item] : value.items()) FlattenInto(below + key, item, out);
+  } else if (value.is_array() && !value.empty() && value[0].is_structured()) {
+    *out += "\t" + below + "count=" + std::to_string(value.size());
+    for (std::size_t i = 0; i < value.size(); ++i) FlattenInto(below + std::to_string(i), value[i], out);
+  } else if (value.is_array()) {
+    *out += "\t" + path + "=";
+    for (std::size_t i = 0; i < value.size(); ++i) *out += (i > 0 ? "," : "") + Plain(value[i]);
+  } else {
+    *out += "\t" + path + "=" + Plain(value);
+  }
+}
+
+sockaddr_in Address(const json& config, const char* field) {
+  sockaddr_in address{};
+  if (!ParseAddress(config.at(field).get<std::string>(), &address)) {
+    throw std::runtime_error(std::string("configuration: ") + field + " is not an address and a port");
+  }
+  return address;
+}
+
+// The seed is hex digits, or a number; whatever it is, it gives the same seed each time.
+std::uint64_t Seed(const json& seed) {
+  if (seed.is_number_integer()) return seed.get<std::uint64_t>();
+  const std::string text = seed.is_string() ? seed.get<std::string>() : "";
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value, 16);
+  return value;
+}
+
+}  // namespace
+
+std::string Flatten(const json& settings) {
+  std::string out;
+  FlattenInto("", settings, &out);
+  return out;
+}
+
+Config ReadConfig(const json& config) {
+  Config c;
+  c.name = config.value("name", "willowrail");
+  c.listen = Address(config, "listen");
+  c.bulletin = Address(config, "bulletin");
+  c.seed = Seed(config.value("seed", json("0")));
+  c.known = config.value("known", json::object());
+  const json& settings = config.at("settings");
+  const std::string line = "begin" + Flatten(settings);
+  c.settings = passbridge::wire::ReadSettings(passbridge::wire::Fields(line, 1), 0);
+  c.zones = settings.value("Zones", std::vector<std::string>());
+  c.kinds = settings.value("Kinds", std::vector<std::string>());
+  const json allowed = settings.value("Allowed", json::object());
+  c.dial_timeout = allowed.value("DialTimeout", c.dial_timeout);
+  c.keepalive = allowed.value("Keepalive", c.keepalive);
+  return c;
+}
+
+Config ConfigFromEnvironment() {
+  const char* path = std::getenv("ROUTER_CONFIG");
+  if (path == nullptr) throw std::runtime_error("ROUTER_CONFIG names no configuration file");
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error(std::string("cannot read ") + path);
+  json config = json::parse(file);
+  if (const char* name = std::getenv("ROUTER_NAME")) config["name"] = name;
+  if (const char* listen = std::getenv("ROUTER_LISTEN")) config["listen"] = listen;
+  return ReadConfig(config);
+}
+
+}  // namespace willowrail
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,33 @@
+// What a cluster manager is told at its start: the file that ROUTER_CONFIG names, and the variables over it.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "net/wheel.h"
+#include "passbridge/scheduler.h"
+
+namespace willowrail {
+
+struct Config {
+  std::string name;
+  sockaddr_in listen{}, bulletin{};
+  std::uint64_t seed = 0;
+  passbridge::Settings settings;
+  std::vector<std::string> zones, kinds;  // by their numbers
+  Time dial_timeout = 250 * kMs, keepalive = 15 * kSecond;
+  nlohmann::json known;  // the bulletin's events so far
+};
+
+// Throws std::exception, saying what is wrong, where there is no configuration to work with.
+Config ReadConfig(const nlohmann::json& json);
+Config ConfigFromEnvironment();
+
+// The settings as the simulator's wire writes them: path=value, a tab before each.
+std::string Flatten(const nlohmann::json& settings);
+
+}  // namespace willowrail
--- /dev/null
+++ b/src/engine/engine.cpp
@@ -0,0 +1,341 @@
+#include "engine/engine.h"
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <memory>
+#include <utility>
+#include <variant>
+
+#include "net/counters.h"
+#include "net/log.h"
+
+namespace willowrail {
+namespace {
+
+using passbridge::Outcome;
+using passbridge::Reason;
+
+constexpr Time kForever = std::numeric_limits<Time>::max();
+// An agent that was told to cut a task and says nothing is not waited for any longer.
+constexpr Time kCutPatience = 8 * kSecond;
+// The list knows that a node is gone later than its last releases were sent; this is for those on their way.
+constexpr Time kGonePatience = kSecond;
+
+// The module names a request by the handle of its slot, so that no name ever comes twice.
+passbridge::RequestId NameOf(Handle handle) {
+  static const char* kDigits = "0123456789abcdef";
+  std::string name(16, '0');
+  for (int i = 15; i >= 0; --i, handle >>= 4) name[static_cast<std::size_t>(i)] = kDigits[handle & 15];
+  return name;
+}
+
+Handle HandleOf(const passbridge::RequestId& name) {
+  Handle handle = 0;
+  std::from_chars(name.data(), name.data() + name.size(), handle, 16);
+  return handle;
+}
+
+}  // namespace
+
+NodeId NodeOf(std::string_view uid) {
+  const std::string_view digits = uid.substr(uid.rfind('-') + 1);
+  NodeId number = 0;
+  const auto [stop, error] = std::from_chars(digits.data(), digits.data() + digits.size(), number, 16);
+  if (error == std::errc() && stop == digits.data() + digits.size() && !digits.empty()) return number;
+  std::uint32_t hash = 2166136261u;  // FNV-1a
+  for (const char c : uid) hash = (hash ^ static_cast<unsigned char>(c)) * 16777619u;
+  return hash;
+}
+
+Engine::Engine(Loop* loop, passbridge::Settings settings, std::uint64_t seed)
+    : loop_(loop), module_(std::move(settings), seed) {}
+
+void Engine::Connect(Owners* owners, Agents* agents, Directory* directory) {
+  owners_ = owners;
+  agents_ = agents;
+  directory_ = directory;
+}
+
+Engine::Request* Engine::Find(TaskId id) {
+  const auto it = by_id_.find(id);
+  return it == by_id_.end() ? nullptr : requests_.Get(it->second);
+}
+
+Engine::Request* Engine::ByName(const passbridge::RequestId& name) { return requests_.Get(HandleOf(name)); }
+
+// Actions may cause further events at once; these wait until the actions at hand are carried out.
+void Engine::Post(passbridge::Event event) {
+  events_.push_back(std::move(event));
+  if (std::exchange(handling_, true)) return;
+  while (!events_.empty()) {
+    const passbridge::Event next = std::move(events_.front());
+    events_.pop_front();
+    for (const passbridge::Action& action : module_.Handle(next, loop_->Now())) Carry(action);
+  }
+  handling_ = false;
+}
+
+void Engine::Carry(const passbridge::Action& action) {
+  std::visit([this](const auto& a) { Do(a); }, action);
+}
+
+// --- What owners say -------------------------------------------------------------------------------------
+void Engine::OnSetUp(SetUp s) {
+  if (Request* r = Find(s.id)) {
+    if (s.at) {
+      ++counters.setups_at_held;
+    } else if (r->owed) {  // sent again over a closing connection: the answer goes where it came from last
+      ++counters.setups_resent;
+      r->origin = s.origin;
+    }
+    return;
+  }
+  Request request;
+  request.id = s.id;
+  request.origin = s.origin;
+  request.passage = std::move(s.passage);
+  request.deadline = s.task.deadline;
+  request.owed = !s.at;
+  request.sent = loop_->Now();
+  if (s.at) {
+    request.out = request.standing = true;
+    request.attempts = 1;
+    request.node = *s.at;
+  }
+  const Handle handle = requests_.Insert(std::move(request));
+  by_id_[s.id] = handle;
+  s.task.id = NameOf(handle);
+  if (s.at) {
+    agents_->Stands(*s.at, s.id, true);
+    Post(passbridge::TaskFound{std::move(s.task), *s.at});
+  } else {
+    ++owed_;
+    Post(passbridge::TaskArrived{std::move(s.task)});
+  }
+}
+
+void Engine::OnOwnerRelease(TaskId id) {
+  Request* r = Find(id);
+  if (r == nullptr || r->cutting) return;
+  const Handle handle = by_id_.at(id);
+  if (r->standing) {
+    ++counters.owner_releases;
+    Cut(handle, r);
+    return;
+  }
+  ++counters.owner_give_ups;
+  Unowe(r);
+  Post(passbridge::Withdrawn{NameOf(handle)});
+  r = requests_.Get(handle);
+  if (r == nullptr) return;
+  if (r->out) {
+    GiveUp(handle, r, Outcome::kCancelled);
+  } else {
+    Erase(handle, r);
+  }
+}
+
+void Engine::OnAbandoned(TaskId id, Handle origin) {
+  const Request* r = Find(id);
+  if (r == nullptr || !r->owed || r->origin != origin) return;
+  ++counters.owner_closed_open;
+  OnOwnerRelease(id);
+}
+
+// --- What agents say -------------------------------------------------------------------------------------
+void Engine::OnAnswer(NodeId node, TaskId id, std::string_view description) {
+  Request* r = Find(id);
+  if (r == nullptr || !r->out || r->standing || r->node != node) {  // of an attempt that was given up
+    ++counters.agent_stray;
+    return;
+  }
+  const Handle handle = by_id_.at(id);
+  ++counters.agent_answers;
+  loop_->TakeDown(r->timer);
+  r->standing = true;
+  Unowe(r);
+  owners_->Answer(r->origin, id, description);
+  agents_->Stands(node, id, true);
+  Post(passbridge::Placed{NameOf(handle), r->attempts - 1, node, loop_->Now() - r->sent});
+}
+
+void Engine::OnEnd(NodeId node, TaskId id, const AgentSays& says) {
+  Request* r = Find(id);
+  if (r == nullptr || !r->out || r->node != node) {
+    ++counters.agent_stray;
+    return;
+  }
+  const Handle handle = by_id_.at(id);
+  if (!r->standing) {
+    EndAttempt(handle, r, says.outcome, says.reason, says.report);
+    return;
+  }
+  const bool owner_ended = r->cutting || says.standing == Outcome::kCancelled;
+  FinishStanding(handle, r, r->cutting ? Outcome::kCancelled : says.standing, says.reason, !owner_ended);
+}
+
+void Engine::OnNote(NodeId node, TaskId id, passbridge::NoteKind kind, double level) {
+  const Request* r = Find(id);
+  if (r == nullptr || !r->out || r->node != node) return;
+  Post(passbridge::Noted{NameOf(by_id_.at(id)), r->attempts - 1, node, kind, level});
+}
+
+void Engine::OnProbed(NodeId node, Outcome outcome, Time took, passbridge::Report report) {
+  Post(passbridge::Probed{node, outcome, took, std::move(report)});
+}
+
+void Engine::OnDead(NodeId node) { LoseTasks(node, kForever); }
+
+// --- What the directory says -----------------------------------------------------------------------------
+void Engine::OnRoster(passbridge::RosterKind kind, std::int64_t version,
+                      const std::vector<ListedNode>& nodes) {
+  auto entries = std::make_shared<std::vector<passbridge::NodeEntry>>();
+  for (const ListedNode& node : nodes) {
+    entries->push_back(node.entry);
+    agents_->Know(node);
+    Listed& listed = listed_[node.entry.node];
+    listed.gone = node.entry.state == passbridge::NodeState::kGone;
+    // Guards against a process that died and came up again between two dials: its new life holds nothing.
+    if (std::exchange(listed.came_up, node.entry.came_up) != node.entry.came_up) {
+      LoseTasks(node.entry.node, node.entry.came_up);
+    }
+    if (listed.gone) {
+      loop_->After(kGonePatience, [this, id = node.entry.node] {
+        if (listed_[id].gone) LoseTasks(id, kForever);
+      });
+    }
+  }
+  const bool told = kind != passbridge::RosterKind::kFailed;
+  Post(passbridge::RosterChanged{kind, version, told ? entries : nullptr});
+}
+
+void Engine::LoseTasks(NodeId node, Time sent_before) {
+  std::vector<Handle> lost;
+  requests_.ForEach([&](Handle handle, const Request& r) {
+    if (r.standing && r.node == node && r.sent < sent_before) lost.push_back(handle);
+  });
+  for (const Handle handle : lost) {
+    Request* r = requests_.Get(handle);
+    if (r == nullptr) continue;
+    ++counters.tasks_lost;
+    FinishStanding(handle, r, Outcome::kAborted, Reason::kUntold, !r->cutting);
+  }
+}
+
+// --- What the module orders ------------------------------------------------------------------------------
+void Engine::Do(const passbridge::Offer& a) {
+  Request* r = ByName(a.id);
+  if (r == nullptr || r->out || !r->owed) {
+    Log("the module offers what cannot be offered, passed over");
+    return;
+  }
+  const Handle handle = HandleOf(a.id);
+  const Time until = a.until > 0 ? std::min(a.until, r->deadline) : r->deadline;
+  ++r->attempts;
+  r->out = true;
+  r->node = a.node;
+  r->sent = loop_->Now();
+  r->timer = loop_->At(until, [this, handle] {
+    if (Request* late = requests_.Get(handle)) {
+      ++counters.attempts_timed_out;
+      GiveUp(handle, late, Outcome::kTimedOut);
+    }
+  });
+  agents_->Offer(a.node, r->id, r->passage, until);
+}
+
+void Engine::Do(const passbridge::Retract& a) {
+  Request* r = ByName(a.id);
+  if (r == nullptr || !r->out || r->standing || a.attempt != r->attempts - 1) return;
+  GiveUp(HandleOf(a.id), r, Outcome::kCancelled);
+}
+
+void Engine::Do(const passbridge::Refuse& a) {
+  Settle(ByName(a.id), [&](Handle origin, TaskId id) { owners_->Refuse(origin, id, a.stay_away); });
+}
+
+void Engine::Do(const passbridge::Fail& a) {
+  Settle(ByName(a.id), [this](Handle origin, TaskId id) { owners_->Fail(origin, id); });
+}
+
+void Engine::Do(const passbridge::Move& a) {
+  Request* r = ByName(a.id);
+  if (r == nullptr || !r->standing || r->cutting) return;
+  owners_->Move(r->origin, r->id);
+  Cut(HandleOf(a.id), r);
+}
+
+void Engine::Do(const passbridge::SetTimer& a) {
+  loop_->At(a.at, [this, tag = a.tag] { Post(passbridge::TimerFired{tag}); });
+}
+
+void Engine::Do(const passbridge::Log& a) { Log("module: %s", a.text.c_str()); }
+
+// --- The life of a request -------------------------------------------------------------------------------
+void Engine::Unowe(Request* r) {
+  if (std::exchange(r->owed, false)) --owed_;
+}
+
+// The one final answer. An attempt still out is given up first, so that nothing is out once it is read.
+template <typename Say>
+void Engine::Settle(Request* r, Say say) {
+  if (r == nullptr || !r->owed) return;
+  const Handle origin = r->origin, handle = by_id_.at(r->id);
+  const TaskId id = r->id;
+  Unowe(r);
+  if (r->out) {
+    GiveUp(handle, r, Outcome::kTimedOut);
+  } else {
+    Erase(handle, r);
+  }
+  say(origin, id);
+}
+
+void Engine::GiveUp(Handle handle, Request* r, Outcome outcome) {
+  const bool sent = agents_->GiveUp(r->node, r->id);
+  if ((r = requests_.Get(handle)) == nullptr || !r->out) return;  // ended by what that brought about
+  EndAttempt(handle, r, sent ? outcome : Outcome::kNotSent, Reason::kUntold, {});
+}
+
+void Engine::EndAttempt(Handle handle, Request* r, Outcome outcome, Reason reason,
+                        passbridge::Report report) {
+  loop_->TakeDown(r->timer);
+  r->out = false;
+  passbridge::AttemptEnded end;
+  end.id = NameOf(handle);
+  end.attempt = r->attempts - 1;
+  end.node = r->node;
+  end.outcome = outcome;
+  end.took = loop_->Now() - r->sent;
+  end.done = !r->owed;
+  end.reason = reason;
+  end.report = std::move(report);
+  Post(std::move(end));
+  if ((r = requests_.Get(handle)) != nullptr && !r->owed && !r->out) Erase(handle, r);
+}
+
+// A task that stands is to end: its agent is told, and its end is told to the module when the agent says so.
+void Engine::Cut(Handle handle, Request* r) {
+  r->cutting = true;
+  agents_->Cut(r->node, r->id);
+  r->timer = loop_->After(kCutPatience, [this, handle] {
+    Request* late = requests_.Get(handle);
+    if (late != nullptr) FinishStanding(handle, late, Outcome::kCancelled, Reason::kUntold, false);
+  });
+}
+
+void Engine::FinishStanding(Handle handle, Request* r, Outcome outcome, Reason reason, bool tell) {
+  agents_->Stands(r->node, r->id, false);
+  if (tell) owners_->Release(r->origin, r->id, outcome == Outcome::kOk ? Over::kEnded : Over::kCut);
+  EndAttempt(handle, r, outcome, reason, {});
+}
+
+void Engine::Erase(Handle handle, Request* r) {
+  loop_->TakeDown(r->timer);
+  Unowe(r);
+  by_id_.erase(r->id);
+  requests_.Erase(handle);
+}
+
+}  // namespace willowrail
--- /dev/null
+++ b/src/engine/engine.h
@@ -0,0 +1,96 @@
+// The engine: happenings become events of the decision module, its actions are carried out, and each request
+// is led through its life. It decides nothing.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+#include "engine/ports.h"
+#include "net/loop.h"
+#include "passbridge/scheduler.h"
+
+namespace willowrail {
+
+class Engine final : public OwnerEvents, public AgentEvents, public DirectoryEvents {
+ public:
+  Engine(Loop* loop, passbridge::Settings settings, std::uint64_t seed);
+  void Connect(Owners* owners, Agents* agents, Directory* directory);
+
+  std::size_t owed() const { return owed_; }  // requests without a final answer
+  std::size_t standing() const { return requests_.size() - owed_; }
+
+  void OnSetUp(SetUp set_up) override;
+  void OnOwnerRelease(TaskId id) override;
+  void OnAbandoned(TaskId id, Handle origin) override;
+  void OnAnswer(NodeId node, TaskId id, std::string_view description) override;
+  void OnEnd(NodeId node, TaskId id, const AgentSays& says) override;
+  void OnNote(NodeId node, TaskId id, passbridge::NoteKind kind, double level) override;
+  void OnProbed(NodeId node, passbridge::Outcome outcome, Time took, passbridge::Report report) override;
+  void OnDead(NodeId node) override;
+  void OnRoster(passbridge::RosterKind kind, std::int64_t version,
+                const std::vector<ListedNode>& nodes) override;
+
+ private:
+  // A request: held (nothing out) or out at a node until it is owed no more; standing from the node's answer
+  // on; cutting from the moment its owner or a move ended it until the node says so.
+  struct Request {
+    TaskId id = 0;
+    Handle origin = 0;
+    Passage passage;
+    Time deadline = 0;
+    bool owed = false, out = false, standing = false, cutting = false;
+    int attempts = 0;
+    NodeId node = 0;
+    Time sent = 0;
+    Handle timer = 0;
+  };
+  struct Listed {
+    Time came_up = 0;
+    bool gone = false;
+  };
+
+  Request* Find(TaskId id);
+  Request* ByName(const passbridge::RequestId& name);
+  void Post(passbridge::Event event);
+  void Carry(const passbridge::Action& action);
+  void Do(const passbridge::Offer& action);
+  void Do(const passbridge::Retract& action);
+  void Do(const passbridge::Refuse& action);
+  void Do(const passbridge::Fail& action);
+  void Do(const passbridge::Move& action);
+  void Do(const passbridge::Probe& action) { agents_->Probe(action.node); }
+  void Do(const passbridge::CloseIdle& action) { agents_->CloseIdle(action.node); }
+  void Do(const passbridge::Subscribe& action) { directory_->Subscribe(action.active); }
+  void Do(const passbridge::FetchRoster&) { directory_->Fetch(); }
+  void Do(const passbridge::SetTimer& action);
+  void Do(const passbridge::Tell&) {}  // cluster managers have no way to one another here
+  void Do(const passbridge::Log& action);
+
+  template <typename Say>
+  void Settle(Request* r, Say say);
+  void Unowe(Request* r);
+  void GiveUp(Handle handle, Request* r, passbridge::Outcome outcome);
+  void EndAttempt(Handle handle, Request* r, passbridge::Outcome outcome, passbridge::Reason reason,
+                  passbridge::Report report);
+  void Cut(Handle handle, Request* r);
+  void FinishStanding(Handle handle, Request* r, passbridge::Outcome outcome, passbridge::Reason reason,
+                      bool tell);
+  void LoseTasks(NodeId node, Time sent_before);
+  void Erase(Handle handle, Request* r);
+
+  Loop* loop_;
+  passbridge::Scheduler module_;
+  Owners* owners_ = nullptr;
+  Agents* agents_ = nullptr;
+  Directory* directory_ = nullptr;
+  SlotTable<Request> requests_;
+  std::unordered_map<TaskId, Handle> by_id_;
+  std::unordered_map<NodeId, Listed> listed_;
+  std::size_t owed_ = 0;
+  std::deque<passbridge::Event> events_;
+  bool handling_ = false;
+};
+
+}  // namespace willowrail
--- /dev/null
+++ b/src/engine/ports.h
@@ -0,0 +1,123 @@
+// The narrow interfaces round the engine. A front speaks a protocol with owners, the agents' side one with
+// agents, a directory knows the list of nodes; the engine knows none of their protocols.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/slot_table.h"
+#include "net/wheel.h"
+#include "passbridge/scheduler.h"
+
+namespace willowrail {
+
+using TaskId = std::uint64_t;
+using NodeId = passbridge::NodeId;
+
+// What is passed on to an agent unchanged. Copied from the message, since it must outlive it.
+struct Passage {
+  std::string class_name, name, key, description;
+};
+
+// How a task that stood is over, as its owner is told.
+enum class Over { kEnded, kCut };
+
+struct SetUp {
+  TaskId id = 0;
+  Handle origin = 0;  // the front's own mark of where the answer goes
+  passbridge::Task task;  // the engine fills in its id
+  Passage passage;
+  std::optional<NodeId> at;  // a task that this node holds already
+};
+
+struct ListedNode {
+  passbridge::NodeEntry entry;
+  std::string endpoint;
+};
+
+// --- What the engine asks of the others ----------------------------------------------------------------
+class Owners {
+ public:
+  virtual void Answer(Handle origin, TaskId id, std::string_view description) = 0;
+  virtual void Refuse(Handle origin, TaskId id, Time stay_away) = 0;
+  virtual void Fail(Handle origin, TaskId id) = 0;
+  virtual void Release(Handle origin, TaskId id, Over over) = 0;
+  virtual void Move(Handle origin, TaskId id) = 0;
+
+ protected:
+  ~Owners() = default;
+};
+
+class Agents {
+ public:
+  virtual void Know(const ListedNode& node) = 0;
+  virtual void Offer(NodeId node, TaskId id, const Passage& passage, Time until) = 0;
+  // The set-up is given up, on the wire before this returns. False where it had never been sent.
+  virtual bool GiveUp(NodeId node, TaskId id) = 0;
+  virtual void Cut(NodeId node, TaskId id) = 0;  // a task that stands there
+  // A task stands there, or (false) no more: a way stays open to agents where any does.
+  virtual void Stands(NodeId node, TaskId id, bool stands) = 0;
+  virtual void Probe(NodeId node) = 0;
+  virtual void CloseIdle(NodeId node) = 0;
+
+ protected:
+  ~Agents() = default;
+};
+
+class Directory {
+ public:
+  // Each call is answered by exactly one change or failure.
+  virtual void Subscribe(bool active) = 0;
+  virtual void Fetch() = 0;
+
+ protected:
+  ~Directory() = default;
+};
+
+// --- What the others tell the engine -------------------------------------------------------------------
+class OwnerEvents {
+ public:
+  virtual void OnSetUp(SetUp set_up) = 0;
+  virtual void OnOwnerRelease(TaskId id) = 0;  // given up, or ended where it stands
+  virtual void OnAbandoned(TaskId id, Handle origin) = 0;  // the way of its answer is gone
+
+ protected:
+  ~OwnerEvents() = default;
+};
+
+struct AgentSays {  // what comes along with an end
+  passbridge::Outcome outcome = passbridge::Outcome::kAborted;  // before an answer
+  passbridge::Outcome standing = passbridge::Outcome::kAborted;  // after it
+  passbridge::Reason reason = passbridge::Reason::kUntold;
+  passbridge::Report report;
+};
+
+class AgentEvents {
+ public:
+  virtual void OnAnswer(NodeId node, TaskId id, std::string_view description) = 0;
+  virtual void OnEnd(NodeId node, TaskId id, const AgentSays& says) = 0;
+  virtual void OnNote(NodeId node, TaskId id, passbridge::NoteKind kind, double level) = 0;
+  virtual void OnProbed(NodeId node, passbridge::Outcome outcome, Time took, passbridge::Report report) = 0;
+  virtual void OnDead(NodeId node) = 0;  // its process is gone, and all that stood there
+
+ protected:
+  ~AgentEvents() = default;
+};
+
+class DirectoryEvents {
+ public:
+  virtual void OnRoster(passbridge::RosterKind kind, std::int64_t version,
+                        const std::vector<ListedNode>& nodes) = 0;
+
+ protected:
+  ~DirectoryEvents() = default;
+};
+
+// The number of a node from its uid, alike in every cluster manager: the digits of a uid such as s-00c41f7a,
+// else a hash of its text.
+NodeId NodeOf(std::string_view uid);
+
+}  // namespace willowrail
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,68 @@
+// willowrail: a real cluster manager round the decision module passbridge. Configuration, signals, wiring.
+#include <csignal>
+#include <cstdio>
+#include <exception>
+
+#include "agents/pool.h"
+#include "bulletin/reader.h"
+#include "config/config.h"
+#include "engine/engine.h"
+#include "front/front.h"
+#include "net/counters.h"
+#include "net/log.h"
+#include "net/loop.h"
+
+namespace willowrail {
+namespace {
+
+// After SIGTERM new connections come for up to 0.4 s and requests for 0.2 s more; all of them are served.
+constexpr Time kLastArrivals = 750 * kMs;
+constexpr Time kDrainLook = 10 * kMs;
+
+int Serve() {
+  const Config config = ConfigFromEnvironment();
+  Loop loop;
+  Engine engine(&loop, config.settings, config.seed);
+  Pool pool(&loop, {config.dial_timeout, config.keepalive}, config.seed, &engine);
+  BulletinReader bulletin(&loop, config, &engine);
+  Front front(&loop, config, &engine);
+  engine.Connect(&front, &pool, &bulletin);
+  bulletin.TellKnown(config.known);
+  Log("%s listens on %s", config.name.c_str(), AddressText(front.address()).c_str());
+
+  Time stop_from = 0;
+  std::function<void()> look = [&] {
+    if (loop.Now() >= stop_from && engine.owed() == 0 && front.idle()) {
+      loop.Stop();
+    } else {
+      loop.After(kDrainLook, look);
+    }
+  };
+  const auto drain = [&] {
+    if (stop_from > 0) return;
+    Log("stopping: %zu requests to settle, %zu tasks stand", engine.owed(), engine.standing());
+    stop_from = loop.Now() + kLastArrivals;
+    front.Drain();
+    look();
+  };
+  loop.OnSignal(SIGTERM, drain);
+  loop.OnSignal(SIGINT, drain);
+  loop.OnSignal(SIGUSR1, [] { counters.Print(stderr); });
+  loop.Run();
+  loop.FlushAll();
+  counters.Print(stderr);
+  return 0;
+}
+
+}  // namespace
+}  // namespace willowrail
+
+int main() {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    return willowrail::Serve();
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "willowrail: %s\n", error.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/net/connection.cpp
@@ -0,0 +1,173 @@
+#include "net/connection.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+
+#include "net/counters.h"
+
+namespace willowrail {
+namespace {
+
+constexpr std::size_t kReadRoom = 16 * 1024;
+constexpr std::size_t kReadMost = 64 * 1024;  // several messages; one that does not fit is malformed
+constexpr std::size_t kWriteMost = 1024 * 1024;
+constexpr int kReadsPerTurn = 4;  // then others get their turn
+
+}  // namespace
+
+bool ParseAddress(std::string_view text, sockaddr_in* address) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return false;
+  const std::string host(text.substr(0, colon));
+  std::uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
+  *address = {};
+  address->sin_family = AF_INET;
+  address->sin_port = htons(port);
+  return error == std::errc() && stop == end && inet_pton(AF_INET, host.c_str(), &address->sin_addr) == 1;
+}
+
+std::string AddressText(const sockaddr_in& address) {
+  char host[INET_ADDRSTRLEN] = "";
+  inet_ntop(AF_INET, &address.sin_addr, host, sizeof host);
+  return std::string(host) + ":" + std::to_string(ntohs(address.sin_port));
+}
+
+Connection::Connection(Loop* loop, int socket, Handler* handler) : loop_(loop), handler_(handler) {
+  Start(socket, EV_READ);
+}
+
+Connection::Connection(Loop* loop, const sockaddr_in& to, Handler* handler)
+    : loop_(loop), handler_(handler), dialing_(true) {
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (socket < 0) {
+    dial_error_ = errno;
+    Start(-1, 0);
+  } else {
+    const int failed = ::connect(socket, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+    if (failed != 0 && errno != EINPROGRESS) dial_error_ = errno;
+    Start(socket, EV_WRITE);
+  }
+  if (dial_error_ != 0) ev_feed_event(loop_->raw(), &io_, EV_WRITE);
+}
+
+void Connection::Start(int socket, int events) {
+  socket_ = socket;
+  last_traffic = loop_->Now();
+  ev_io_init(
+      &io_, [](struct ev_loop*, ev_io* w, int got) { static_cast<Connection*>(w->data)->OnEvent(got); },
+      socket_, events);
+  io_.data = this;
+  if (socket_ < 0) return;
+  const int on = 1;
+  setsockopt(socket_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  ev_io_start(loop_->raw(), &io_);
+}
+
+std::string* Connection::out() {
+  if (!flush_marked_) loop_->FlushSoon(this);
+  flush_marked_ = true;
+  last_traffic = loop_->Now();
+  return &out_;
+}
+
+void Connection::Flush() {
+  flush_marked_ = false;
+  if (!up()) return;
+  while (written_ < out_.size()) {
+    const ssize_t sent = ::send(socket_, out_.data() + written_, out_.size() - written_, MSG_NOSIGNAL);
+    if (sent < 0 && errno == EINTR) continue;
+    if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
+      End(Ending::kReset);
+      return;
+    }
+    if (sent < 0) break;
+    written_ += static_cast<std::size_t>(sent);
+  }
+  if (flushed()) {
+    out_.clear();
+    written_ = 0;
+  } else if (out_.size() - written_ > kWriteMost) {  // the other side reads nothing: bounded memory
+    ++counters.stuck_writes;
+    End(Ending::kStuck);
+    return;
+  }
+  Watch(flushed() ? EV_READ : EV_READ | EV_WRITE);
+}
+
+void Connection::Watch(int events) {
+  if ((io_.events & (EV_READ | EV_WRITE)) == events) return;
+  ev_io_stop(loop_->raw(), &io_);
+  ev_io_set(&io_, socket_, events);
+  ev_io_start(loop_->raw(), &io_);
+}
+
+void Connection::Close() {
+  loop_->Forget(this);
+  ev_clear_pending(loop_->raw(), &io_);
+  ev_io_stop(loop_->raw(), &io_);
+  if (socket_ >= 0) ::close(socket_);
+  socket_ = -1;
+  dialing_ = false;
+}
+
+void Connection::End(Ending ending) {
+  Close();
+  handler_->OnEnd(*this, ending);
+}
+
+void Connection::OnEvent(int events) {
+  if (dialing_) {
+    socklen_t size = sizeof dial_error_;
+    if (dial_error_ == 0) getsockopt(socket_, SOL_SOCKET, SO_ERROR, &dial_error_, &size);
+    if (dial_error_ != 0) {
+      End(dial_error_ == ECONNREFUSED ? Ending::kRefused : Ending::kReset);
+      return;
+    }
+    dialing_ = false;
+    Watch(EV_READ);
+    handler_->OnUp(*this);
+    return;
+  }
+  if (events & EV_WRITE) Flush();
+  if (open() && (events & EV_READ)) Read();
+}
+
+void Connection::Read() {
+  for (int turn = 0; turn < kReadsPerTurn && open(); ++turn) {
+    if (in_begin_ > 0 && in_begin_ == in_end_) in_begin_ = in_end_ = 0;
+    if (in_.size() - in_end_ < kReadRoom) {
+      std::memmove(in_.data(), in_.data() + in_begin_, in_end_ - in_begin_);
+      in_end_ -= in_begin_;
+      in_begin_ = 0;
+      in_.resize(std::max(in_.size(), in_end_ + kReadRoom));
+    }
+    const ssize_t got = ::recv(socket_, in_.data() + in_end_, in_.size() - in_end_, 0);
+    if (got < 0 && errno == EINTR) continue;
+    if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
+    if (got <= 0) {
+      End(got == 0 ? Ending::kClosed : Ending::kReset);
+      return;
+    }
+    last_traffic = loop_->Now();
+    const bool more = in_.size() - in_end_ == static_cast<std::size_t>(got);
+    in_end_ += static_cast<std::size_t>(got);
+    in_begin_ += handler_->OnData(*this, {in_.data() + in_begin_, in_end_ - in_begin_});
+    if (open() && in_end_ - in_begin_ >= kReadMost) {
+      End(Ending::kStuck);
+      return;
+    }
+    if (!more) return;
+  }
+}
+
+}  // namespace willowrail
--- /dev/null
+++ b/src/net/connection.h
@@ -0,0 +1,80 @@
+// One non-blocking TCP connection: a read buffer whose slices are handed on, and a bounded write queue that
+// is flushed once a turn of the loop.
+#pragma once
+
+#include <ev.h>
+#include <netinet/in.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/loop.h"
+
+namespace willowrail {
+
+// "127.0.0.1:80"; false where the text is not an address and a port.
+bool ParseAddress(std::string_view text, sockaddr_in* address);
+std::string AddressText(const sockaddr_in& address);
+
+enum class Ending {
+  kClosed,   // the other side closed in order
+  kReset,    // it broke off: reset, or another error of the socket
+  kRefused,  // a dial was refused: nobody listens there
+  kStuck     // the write queue outgrew its bound, or what came in outgrew a message
+};
+
+class Connection {
+ public:
+  class Handler {
+   public:
+    virtual void OnUp(Connection&) {}  // dialled, and it came up
+    // Returns how many bytes were taken. The slice is valid during the call only.
+    virtual std::size_t OnData(Connection& connection, std::string_view data) = 0;
+    // It is closed. Called once, and not after Close().
+    virtual void OnEnd(Connection& connection, Ending ending) = 0;
+
+   protected:
+    ~Handler() = default;
+  };
+
+  // Takes over an accepted socket.
+  Connection(Loop* loop, int socket, Handler* handler);
+  // Dials. Every outcome, a refusal at once too, comes by OnUp or OnEnd after this returns.
+  Connection(Loop* loop, const sockaddr_in& to, Handler* handler);
+  ~Connection() { Close(); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  bool open() const { return socket_ >= 0; }
+  bool up() const { return open() && !dialing_; }
+  bool flushed() const { return written_ == out_.size(); }
+  // The write queue: append to it, it leaves before the loop sleeps.
+  std::string* out();
+  void Flush();
+  void Close();
+
+  Handle tag = 0;         // for the owner of the connection
+  Time last_traffic = 0;  // bytes in, or bytes queued to go out
+
+ private:
+  void Start(int socket, int events);
+  void OnEvent(int events);
+  void Read();
+  void Watch(int events);
+  void End(Ending ending);
+
+  Loop* loop_;
+  Handler* handler_;
+  int socket_ = -1;
+  bool dialing_ = false, flush_marked_ = false;
+  int dial_error_ = 0;
+  ev_io io_;
+  std::vector<char> in_;
+  std::size_t in_begin_ = 0, in_end_ = 0;
+  std::string out_;
+  std::size_t written_ = 0;
+};
+
+}  // namespace willowrail
--- /dev/null
+++ b/src/net/listener.cpp
@@ -0,0 +1,72 @@
+#include "net/listener.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <string>
+
+#include "net/counters.h"
+#include "net/log.h"
+
+namespace willowrail {
+namespace {
+
+constexpr int kBacklog = 1024;
+constexpr Time kPause = 10 * kMs;
+
+}  // namespace
+
+Listener::Listener(Loop* loop, const sockaddr_in& address, std::function<void(int)> accepted)
+    : loop_(loop), accepted_(std::move(accepted)) {
+  socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  if (socket_ >= 0) setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (socket_ < 0 || ::bind(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+      ::listen(socket_, kBacklog) != 0) {
+    const std::string problem = std::strerror(errno);
+    if (socket_ >= 0) ::close(socket_);
+    throw std::runtime_error("cannot listen: " + problem);
+  }
+  ev_io_init(
+      &io_, [](struct ev_loop*, ev_io* w, int) { static_cast<Listener*>(w->data)->Accept(); }, socket_,
+      EV_READ);
+  io_.data = this;
+  ev_io_start(loop_->raw(), &io_);
+}
+
+Listener::~Listener() {
+  loop_->TakeDown(retry_);
+  ev_io_stop(loop_->raw(), &io_);
+  ::close(socket_);
+}
+
+sockaddr_in Listener::address() const {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
+  return address;
+}
+
+void Listener::Accept() {
+  while (true) {
+    const int accepted = ::accept4(socket_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted >= 0) {
+      accepted_(accepted);
+      continue;
+    }
+    if (errno == EINTR || errno == ECONNABORTED) continue;
+    if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+    // Guards against running out of descriptors: what waits in the backlog is not lost, and a listener that
+    // stays readable must not spin.
+    ++counters.accept_failed;
+    Log("accept: %s; trying again", std::strerror(errno));
+    ev_io_stop(loop_->raw(), &io_);
+    retry_ = loop_->After(kPause, [this] { ev_io_start(loop_->raw(), &io_); });
+    return;
+  }
+}
+
+}  // namespace willowrail
--- /dev/null
+++ b/src/net/log.cpp
@@ -0,0 +1,36 @@
+#include "net/log.h"
+
+#include <cstdarg>
+#include <cstdio>
+#include <ctime>
+
+namespace willowrail {
+namespace {
+
+constexpr int kLinesPerSecond = 50;
+
+}  // namespace
+
+void Log(const char* format, ...) {
+  static std::time_t second = 0;
+  static int lines = 0, dropped = 0;
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  if (now.tv_sec != second) {
+    if (dropped > 0) std::fprintf(stderr, "log: %d lines left out in that second\n", dropped);
+    second = now.tv_sec;
+    lines = dropped = 0;
+  }
+  if (++lines > kLinesPerSecond) {
+    ++dropped;
+    return;
+  }
+  char text[512];
+  va_list arguments;
+  va_start(arguments, format);
+  std::vsnprintf(text, sizeof text, format, arguments);
+  va_end(arguments);
+  std::fprintf(stderr, "%lld.%03ld %s\n", static_cast<long long>(now.tv_sec), now.tv_nsec / 1'000'000, text);
+}
+
+}  // namespace willowrail
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,83 @@
+#include "net/loop.h"
+
+#include <algorithm>
+#include <ctime>
+#include <stdexcept>
+
+#include "net/connection.h"
+
+namespace willowrail {
+namespace {
+
+Time UnixNow() {
+  timespec now{};
+  clock_gettime(CLOCK_REALTIME, &now);
+  return Time{now.tv_sec} * kSecond + now.tv_nsec;
+}
+
+}  // namespace
+
+Loop::Loop() : loop_(ev_loop_new(EVFLAG_AUTO)), now_(UnixNow()), wheel_(now_) {
+  if (loop_ == nullptr) throw std::runtime_error("libev gives no event loop");
+  ev_prepare_init(&prepare_, [](struct ev_loop*, ev_prepare* w, int) {
+    static_cast<Loop*>(w->data)->BeforeSleep();
+  });
+  prepare_.data = this;
+  ev_prepare_start(loop_, &prepare_);
+  ev_timer_init(&timer_, [](struct ev_loop*, ev_timer*, int) {}, 0, 0);  // BeforeSleep does the work
+  timer_.data = this;
+}
+
+Loop::~Loop() {
+  buried_.clear();
+  for (const auto& signal : signals_) ev_signal_stop(loop_, &signal->watcher);
+  ev_timer_stop(loop_, &timer_);
+  ev_prepare_stop(loop_, &prepare_);
+  ev_loop_destroy(loop_);
+}
+
+Time Loop::Now() {
+  now_ = std::max(now_, UnixNow());
+  return now_;
+}
+
+void Loop::OnSignal(int number, std::function<void()> what) {
+  signals_.push_back(std::make_unique<Signal>());
+  Signal* signal = signals_.back().get();
+  signal->what = std::move(what);
+  ev_signal_init(
+      &signal->watcher, [](struct ev_loop*, ev_signal* w, int) { static_cast<Signal*>(w->data)->what(); },
+      number);
+  signal->watcher.data = signal;
+  ev_signal_start(loop_, &signal->watcher);
+}
+
+void Loop::Forget(Connection* connection) { std::erase(to_flush_, connection); }
+
+void Loop::Bury(std::unique_ptr<Connection> connection) {
+  if (connection == nullptr) return;
+  connection->Close();
+  buried_.push_back(std::move(connection));
+}
+
+void Loop::FlushAll() {
+  for (std::size_t i = 0; i < to_flush_.size(); ++i) to_flush_[i]->Flush();
+  to_flush_.clear();
+}
+
+void Loop::BeforeSleep() {
+  wheel_.Advance(Now());
+  FlushAll();
+  buried_.clear();
+  ev_timer_stop(loop_, &timer_);
+  const Time next = wheel_.Next();
+  if (next < 0) return;
+  ev_now_update(loop_);
+  ev_timer_set(&timer_, static_cast<double>(std::max<Time>(next - Now(), 0)) / kSecond, 0);
+  ev_timer_start(loop_, &timer_);
+}
+
+void Loop::Run() { ev_run(loop_, 0); }
+void Loop::Stop() { ev_break(loop_, EVBREAK_ALL); }
+
+}  // namespace willowrail
--- /dev/null
+++ b/src/proto/message.cpp
@@ -0,0 +1,84 @@
+#include "proto/message.h"
+
+#include <cstdio>
+
+namespace willowrail::proto {
+namespace {
+
+constexpr std::size_t kHead = 2;      // the length
+constexpr std::size_t kFixed = 1 + 8;  // type and task
+constexpr std::size_t kParameter = 1 + 2;
+
+std::uint64_t ReadBigEndian(std::string_view bytes) {
+  std::uint64_t value = 0;
+  for (const char byte : bytes) value = value << 8 | static_cast<unsigned char>(byte);
+  return value;
+}
+
+void PutBigEndian(std::string* out, std::uint64_t value, int bytes) {
+  for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) out->push_back(static_cast<char>(value >> shift));
+}
+
+}  // namespace
+
+int Message::CauseOr(int fallback) const {
+  const std::string_view value = Get(Code::kCause);
+  return value.size() == 1 ? static_cast<unsigned char>(value[0]) : fallback;
+}
+
+Step Decode(std::string_view data, Message* message, std::size_t* size) {
+  if (data.size() < kHead) return Step::kMore;
+  const std::size_t length = ReadBigEndian(data.substr(0, kHead));
+  if (length < kFixed || kHead + length > kMostBytes) return Step::kMalformed;
+  if (data.size() < kHead + length) return Step::kMore;
+  *size = kHead + length;
+  message->type = static_cast<Type>(data[kHead]);
+  message->task = ReadBigEndian(data.substr(kHead + 1, 8));
+  std::string_view rest = data.substr(kHead + kFixed, length - kFixed);
+  while (!rest.empty()) {
+    if (rest.size() < kParameter) return Step::kMalformed;
+    const auto code = static_cast<std::uint8_t>(rest[0]);
+    const std::size_t bytes = ReadBigEndian(rest.substr(1, 2));
+    if (rest.size() - kParameter < bytes) return Step::kMalformed;
+    if (code >= Message::kFirst && code <= Message::kLast) {  // codes that are not known are passed over
+      message->values_[code - Message::kFirst] = rest.substr(kParameter, bytes);
+      message->present_[code - Message::kFirst] = true;
+    }
+    rest.remove_prefix(kParameter + bytes);
+  }
+  return Step::kMessage;
+}
+
+Writer::Writer(std::string* out, Type type, TaskId task) : out_(out), start_(out->size()) {
+  PutBigEndian(out_, 0, kHead);
+  PutBigEndian(out_, static_cast<std::uint8_t>(type), 1);
+  PutBigEndian(out_, task, 8);
+}
+
+Writer::~Writer() {
+  const std::size_t length = out_->size() - start_ - kHead;
+  (*out_)[start_] = static_cast<char>(length >> 8);
+  (*out_)[start_ + 1] = static_cast<char>(length);
+}
+
+Writer& Writer::Add(Code code, std::string_view value) {
+  PutBigEndian(out_, static_cast<std::uint8_t>(code), 1);
+  PutBigEndian(out_, value.size(), 2);
+  out_->append(value);
+  return *this;
+}
+
+Writer& Writer::Add(Code code, std::int64_t value) { return Add(code, std::string_view(std::to_string(value))); }
+
+Writer& Writer::Add(Cause cause) {
+  const char byte = static_cast<char>(cause);
+  return Add(Code::kCause, std::string_view(&byte, 1));
+}
+
+std::string TaskText(TaskId task) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(task));
+  return text;
+}
+
+}  // namespace willowrail::proto
