Take an end before the answer as the task's end, not as a broken set-up

A trace of the releases showed cause 16 before any answer, 0.5 s (the least life) or a second after the set-up, and the same from each further agent within 10 ms. The pool took them as a reset, so the module struck healthy nodes and spent two more attempts. Now the outcome is OK and the owner is told the end.

--- a/src/agents/pool.cpp
+++ b/src/agents/pool.cpp
@@ -25,6 +25,8 @@
 
 Outcome BeforeAnswer(int cause) {
   switch (static_cast<Cause>(cause)) {
+    case Cause::kEnded:
+      return Outcome::kOk;
     case Cause::kFull:
       return Outcome::kRefused;
     case Cause::kError:
@@ -192,7 +194,10 @@
   const Testing test = *it;
   peer.tests.erase(it);
   loop_->TakeDown(test.timer);
-  if (outcome == Outcome::kTimedOut) Doubt(node, &peer, test.asked);
+  if (outcome == Outcome::kTimedOut) {
+    Log("agent %u: a test went unanswered", node);
+    Doubt(node, &peer, test.asked);
+  }
   events_->OnProbed(node, outcome, loop_->Now() - test.asked, std::move(report));
 }
 
@@ -223,6 +228,9 @@
 void Pool::DialFailed(NodeId node, Ending ending) {
   Peer& peer = peers_[node];
   ++counters.agent_dials_failed;
+  Log("agent %u: dial %s, %zu set-ups and %zu tests waiting, %zu tasks stand", node,
+      ending == Ending::kRefused ? "refused" : "failed", peer.waiting.size(), peer.tests.size(),
+      peer.standing.size());
   loop_->TakeDown(std::exchange(peer.dial_timer, 0));
   if (Line* line = lines_.Get(peer.dialing)) loop_->Bury(std::move(line->connection));
   lines_.Erase(std::exchange(peer.dialing, 0));
@@ -308,6 +316,10 @@
   for (const auto& [id, on] : peer.open) {
     if (on == handle) open.push_back(id);
   }
+  if (ending == Ending::kReset || !open.empty()) {
+    Log("agent %u: connection %s, %zu set-ups open on it, %zu tasks stand", node,
+        ending == Ending::kReset ? "reset" : "closed", open.size(), peer.standing.size());
+  }
   for (const TaskId id : open) peer.open.erase(id);
   for (const TaskId id : open) {
     ++counters.attempts_reset;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -167,6 +167,16 @@
     return;
   }
   const Handle handle = by_id_.at(id);
+  if (!r->standing && says.outcome == Outcome::kOk) {
+    // Guards against trying again what is over: a short task can come to its end while it is still being
+    // started, and each further agent would only say the same. Its owner is told so, the module as well.
+    const Handle origin = r->origin;
+    const bool owed = r->owed;
+    Unowe(r);
+    EndAttempt(handle, r, Outcome::kOk, says.reason, says.report);
+    if (owed) owners_->Fail(origin, id, Over::kEnded);
+    return;
+  }
   if (!r->standing) {
     EndAttempt(handle, r, says.outcome, says.reason, says.report);
     return;
@@ -256,7 +266,7 @@
 }
 
 void Engine::Do(const passbridge::Fail& a) {
-  Settle(ByName(a.id), [this](Handle origin, TaskId id) { owners_->Fail(origin, id); });
+  Settle(ByName(a.id), [this](Handle origin, TaskId id) { owners_->Fail(origin, id, Over::kCut); });
 }
 
 void Engine::Do(const passbridge::Move& a) {
--- a/src/engine/ports.h
+++ b/src/engine/ports.h
@@ -22,7 +22,7 @@
   std::string class_name, name, key, description;
 };
 
-// How a task that stood is over, as its owner is told.
+// How a task is over, as its owner is told: it came to its end, or it was cut or never stood.
 enum class Over { kEnded, kCut };
 
 struct SetUp {
@@ -43,7 +43,7 @@
  public:
   virtual void Answer(Handle origin, TaskId id, std::string_view description) = 0;
   virtual void Refuse(Handle origin, TaskId id, Time stay_away) = 0;
-  virtual void Fail(Handle origin, TaskId id) = 0;
+  virtual void Fail(Handle origin, TaskId id, Over over) = 0;
   virtual void Release(Handle origin, TaskId id, Over over) = 0;
   virtual void Move(Handle origin, TaskId id) = 0;
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -17,6 +17,8 @@
 using proto::Type;
 using proto::Writer;
 
+Cause CauseOf(Over over) { return over == Over::kEnded ? Cause::kEnded : Cause::kReset; }
+
 bool ReadHex(std::string_view text, std::uint64_t* value) {
   const char* end = text.data() + text.size();
   const auto [stop, error] = std::from_chars(text.data(), end, *value, 16);
@@ -158,11 +160,11 @@
   if (stay_away > 0) message.Add(Code::kStayAway, (stay_away + kMs - 1) / kMs);
 }
 
-void Front::Fail(Handle origin, TaskId id) {
+void Front::Fail(Handle origin, TaskId id, Over over) {
   Connection* connection = Settled(origin, id);
   if (connection == nullptr) return;
   ++counters.failures_sent;
-  Writer(connection->out(), Type::kRelease, id).Add(Cause::kReset);
+  Writer(connection->out(), Type::kRelease, id).Add(CauseOf(over));
 }
 
 // What ends a task that stands may go on any connection. One with a set-up open is not being closed by its
@@ -195,7 +197,7 @@
 
 void Front::Release(Handle origin, TaskId id, Over over) {
   ++counters.releases_sent;
-  Send(origin, {Type::kRelease, id, over == Over::kEnded ? Cause::kEnded : Cause::kReset});
+  Send(origin, {Type::kRelease, id, CauseOf(over)});
 }
 
 void Front::Move(Handle origin, TaskId id) {
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -24,7 +24,7 @@
 
   void Answer(Handle origin, TaskId id, std::string_view description) override;
   void Refuse(Handle origin, TaskId id, Time stay_away) override;
-  void Fail(Handle origin, TaskId id) override;
+  void Fail(Handle origin, TaskId id, Over over) override;
   void Release(Handle origin, TaskId id, Over over) override;
   void Move(Handle origin, TaskId id) override;
 
