--- a/src/agents/pool.cpp
+++ b/src/agents/pool.cpp
@@ -51,8 +51,8 @@
 
 Reason ReadReason(std::string_view word) {
   static const std::pair<std::string_view, Reason> kReasons[] = {
-      {"cpu_full", Reason::kNoCores}, {"mem_full", Reason::kNoMemory}, {"busy", Reason::kQueueFull},
-      {"wrong_host", Reason::kNotHere}, {"oom", Reason::kEvicted},     {"preempted", Reason::kPushedOut},
+      {"cpu_full", Reason::kNoCores},   {"mem_full", Reason::kNoMemory}, {"busy", Reason::kQueueFull},
+      {"wrong_host", Reason::kNotHere}, {"oom", Reason::kEvicted},       {"preempted", Reason::kPushedOut},
       {"drained", Reason::kSentAway}};
   for (const auto& [name, reason] : kReasons) {
     if (name == word) return reason;
--- a/src/agents/pool.h
+++ b/src/agents/pool.h
@@ -49,7 +49,7 @@
   struct Peer {
     sockaddr_in address{};
     bool known = false, gone = false;
-    Handle way = 0;                             // the connection that is written to
+    Handle way = 0;  // the connection that is written to
     Handle dialing = 0, dial_timer = 0, redial = 0;
     std::vector<Waiting> waiting;
     std::unordered_map<TaskId, Handle> open;    // set-ups sent and not answered, and where
--- a/src/bulletin/reader.cpp
+++ b/src/bulletin/reader.cpp
@@ -13,6 +13,7 @@
 
 // A comment comes every second, so this much silence is a break, also where the connection stays up.
 constexpr Time kSilence = 2 * kSecond;
+constexpr Time kUnaskedPause = 300 * kMs;
 constexpr std::size_t kMostLine = 4 * 1024 * 1024;
 
 }  // namespace
@@ -22,7 +23,8 @@
       address_(config.bulletin),
       host_(AddressText(config.bulletin)),
       events_(events),
-      roster_(config.zones, config.kinds) {
+      roster_(config.zones, config.kinds),
+      unasked_(!config.settings.ask_discovery) {
   http_parser_settings_init(&callbacks_);
   callbacks_.on_headers_complete = [](http_parser* p) {
     auto* reader = static_cast<BulletinReader*>(p->data);
@@ -41,6 +43,7 @@
     roster_.Apply(item, &change);
   }
   Tell(RosterKind::kCached, roster_.All());
+  if (unasked_) Connect();
 }
 
 void BulletinReader::Tell(RosterKind kind, const Roster::Change& change) {
@@ -51,6 +54,7 @@
   if (!active) {
     loop_->Bury(std::move(connection_));
     loop_->TakeDown(std::exchange(silence_, 0));
+    loop_->TakeDown(std::exchange(again_, 0));
     asked_ = false;
     return;
   }
@@ -68,6 +72,7 @@
 }
 
 void BulletinReader::Connect() {
+  loop_->TakeDown(std::exchange(again_, 0));
   failed_ = false;
   line_.clear();
   data_.clear();
@@ -107,7 +112,11 @@
   loop_->Bury(std::move(connection_));
   loop_->TakeDown(std::exchange(silence_, 0));
   asked_ = false;
-  Tell(RosterKind::kFailed, {});
+  if (unasked_) {
+    again_ = loop_->After(kUnaskedPause, [this] { Connect(); });
+  } else {
+    Tell(RosterKind::kFailed, {});
+  }
 }
 
 void BulletinReader::Body(std::string_view piece) {
--- a/src/bulletin/reader.h
+++ b/src/bulletin/reader.h
@@ -18,7 +18,8 @@
  public:
   BulletinReader(Loop* loop, const Config& config, DirectoryEvents* events);
 
-  // Tells the engine the list of the configuration, as it was known at the start.
+  // Tells the engine the list of the configuration, as it was known at the start. Where changes arrive
+  // unasked, reads on by itself from here.
   void TellKnown(const nlohmann::json& known);
 
   void Subscribe(bool active) override;
@@ -43,6 +44,7 @@
   std::string host_;
   DirectoryEvents* events_;
   Roster roster_;
+  const bool unasked_;   // changes arrive without a call, and failures are nobody's
   bool asked_ = false;   // a call waits for its answer
   bool failed_ = false;  // what came in cannot be read
   std::unique_ptr<Connection> connection_;
@@ -50,7 +52,7 @@
   http_parser_settings callbacks_{};
   std::string line_, data_;  // they outlive the buffer they came in
   Time heard_ = 0;
-  Handle silence_ = 0;
+  Handle silence_ = 0, again_ = 0;
 };
 
 }  // namespace willowrail
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -18,7 +18,8 @@
 std::string Plain(const json& value) {
   if (value.is_null()) return "-";
   std::string text = value.is_string() ? value.get<std::string>() : value.dump();
-  std::ranges::replace_if(text, [](char c) { return c == ' ' || c == ',' || c == '\t' || c == '\n'; }, '_');
+  std::ranges::replace_if(
+      text, [](char c) { return c == ' ' || c == ',' || c == '\t' || c == '\n'; }, '_');
   return text;
 }
 
--- a/src/engine/ports.h
+++ b/src/engine/ports.h
@@ -27,7 +27,7 @@
 
 struct SetUp {
   TaskId id = 0;
-  Handle origin = 0;  // the front's own mark of where the answer goes
+  Handle origin = 0;      // the front's own mark of where the answer goes
   passbridge::Task task;  // the engine fills in its id
   Passage passage;
   std::optional<NodeId> at;  // a task that this node holds already
@@ -81,15 +81,15 @@
 class OwnerEvents {
  public:
   virtual void OnSetUp(SetUp set_up) = 0;
-  virtual void OnOwnerRelease(TaskId id) = 0;  // given up, or ended where it stands
+  virtual void OnOwnerRelease(TaskId id) = 0;              // given up, or ended where it stands
   virtual void OnAbandoned(TaskId id, Handle origin) = 0;  // the way of its answer is gone
 
  protected:
   ~OwnerEvents() = default;
 };
 
-struct AgentSays {  // what comes along with an end
-  passbridge::Outcome outcome = passbridge::Outcome::kAborted;  // before an answer
+struct AgentSays {                                               // what comes along with an end
+  passbridge::Outcome outcome = passbridge::Outcome::kAborted;   // before an answer
   passbridge::Outcome standing = passbridge::Outcome::kAborted;  // after it
   passbridge::Reason reason = passbridge::Reason::kUntold;
   passbridge::Report report;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -146,7 +146,7 @@
   for (int turn = 0; turn < kReadsPerTurn && open(); ++turn) {
     if (in_begin_ > 0 && in_begin_ == in_end_) in_begin_ = in_end_ = 0;
     if (in_.size() - in_end_ < kReadRoom) {
-      std::memmove(in_.data(), in_.data() + in_begin_, in_end_ - in_begin_);
+      if (in_end_ > in_begin_) std::memmove(in_.data(), in_.data() + in_begin_, in_end_ - in_begin_);
       in_end_ -= in_begin_;
       in_begin_ = 0;
       in_.resize(std::max(in_.size(), in_end_ + kReadRoom));
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <ctime>
 #include <stdexcept>
+#include <utility>
 
 #include "net/connection.h"
 
@@ -19,12 +20,12 @@
 
 Loop::Loop() : loop_(ev_loop_new(EVFLAG_AUTO)), now_(UnixNow()), wheel_(now_) {
   if (loop_ == nullptr) throw std::runtime_error("libev gives no event loop");
-  ev_prepare_init(&prepare_, [](struct ev_loop*, ev_prepare* w, int) {
-    static_cast<Loop*>(w->data)->BeforeSleep();
-  });
+  ev_prepare_init(&prepare_,
+                  [](struct ev_loop*, ev_prepare* w, int) { static_cast<Loop*>(w->data)->BeforeSleep(); });
   prepare_.data = this;
   ev_prepare_start(loop_, &prepare_);
-  ev_timer_init(&timer_, [](struct ev_loop*, ev_timer*, int) {}, 0, 0);  // BeforeSleep does the work
+  ev_timer_init(
+      &timer_, [](struct ev_loop*, ev_timer*, int) {}, 0, 0);  // BeforeSleep does the work
   timer_.data = this;
 }
 
@@ -52,7 +53,8 @@
   ev_signal_start(loop_, &signal->watcher);
 }
 
-void Loop::Forget(Connection* connection) { std::erase(to_flush_, connection); }
+// Marked, not taken out: a connection may end while the list is being gone through.
+void Loop::Forget(Connection* connection) { std::ranges::replace(to_flush_, connection, nullptr); }
 
 void Loop::Bury(std::unique_ptr<Connection> connection) {
   if (connection == nullptr) return;
@@ -61,7 +63,9 @@
 }
 
 void Loop::FlushAll() {
-  for (std::size_t i = 0; i < to_flush_.size(); ++i) to_flush_[i]->Flush();
+  for (std::size_t i = 0; i < to_flush_.size(); ++i) {
+    if (Connection* connection = std::exchange(to_flush_[i], nullptr)) connection->Flush();
+  }
   to_flush_.clear();
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -21,7 +21,9 @@
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
 
-  struct ev_loop* raw() { return loop_; }
+  struct ev_loop* raw() {
+    return loop_;
+  }
   Time Now();  // the Unix clock; never goes back
   Handle At(Time at, std::function<void()> what) { return wheel_.Hang(at, std::move(what)); }
   Handle After(Time delay, std::function<void()> what) { return At(Now() + delay, std::move(what)); }
--- a/src/proto/message.cpp
+++ b/src/proto/message.cpp
@@ -5,7 +5,7 @@
 namespace willowrail::proto {
 namespace {
 
-constexpr std::size_t kHead = 2;      // the length
+constexpr std::size_t kHead = 2;       // the length
 constexpr std::size_t kFixed = 1 + 8;  // type and task
 constexpr std::size_t kParameter = 1 + 2;
 
@@ -68,7 +68,9 @@
   return *this;
 }
 
-Writer& Writer::Add(Code code, std::int64_t value) { return Add(code, std::string_view(std::to_string(value))); }
+Writer& Writer::Add(Code code, std::int64_t value) {
+  return Add(code, std::string_view(std::to_string(value)));
+}
 
 Writer& Writer::Add(Cause cause) {
   const char byte = static_cast<char>(cause);
--- /dev/null
+++ b/tests/parts_test.cpp
@@ -0,0 +1,80 @@
+// The small parts that everything stands on.
+#include <doctest/doctest.h>
+
+#include "config/config.h"
+#include "engine/ports.h"
+#include "net/slot_table.h"
+#include "net/wheel.h"
+#include "proto/message.h"
+
+namespace willowrail {
+namespace {
+
+TEST_CASE("a stale handle does not find the slot's next tenant") {
+  SlotTable<int> table;
+  const Handle first = table.Insert(1);
+  CHECK(table.Erase(first));
+  const Handle next = table.Insert(2);
+  CHECK(table.Get(first) == nullptr);
+  CHECK_FALSE(table.Erase(first));
+  CHECK(*table.Get(next) == 2);
+  CHECK(table.Get(0) == nullptr);
+}
+
+TEST_CASE("the wheel runs deadlines in order, once, and not those taken down") {
+  const Time start = 1'796'137'172 * kSecond;
+  Wheel wheel(start);
+  std::string ran;
+  wheel.Hang(start + 40 * kSecond, [&] { ran += 'd'; });  // further off than a turn of the wheel
+  wheel.Hang(start + 5 * kMs, [&] { ran += 'b'; });
+  wheel.Hang(start + 2 * kMs, [&] {
+    ran += 'a';
+    wheel.Hang(start, [&] { ran += 'c'; });  // past already: in the next tick, not in this call's
+  });
+  const Handle down = wheel.Hang(start + 3 * kMs, [&] { ran += 'x'; });
+  wheel.TakeDown(down);
+  CHECK(wheel.Next() <= start + 2 * kMs);
+  wheel.Advance(start + 2 * kMs);
+  CHECK(ran == "a");
+  wheel.Advance(start + 10 * kMs);
+  CHECK(ran == "acb");
+  wheel.Advance(start + 39 * kSecond);
+  CHECK(ran == "acb");
+  wheel.Advance(start + 90 * kSecond);  // a whole turn slept through
+  CHECK(ran == "acbd");
+  CHECK(wheel.Next() == -1);
+}
+
+TEST_CASE("a message comes whole or not at all, however it is cut") {
+  std::string bytes;
+  proto::Writer(&bytes, proto::Type::kRelease, 0xabcdef0123456789)
+      .Add(proto::Cause::kFull)
+      .Add(proto::Code::kNote, "busy");
+  proto::Message m;
+  std::size_t size = 0;
+  for (std::size_t cut = 0; cut < bytes.size(); ++cut) {
+    CHECK(proto::Decode(std::string_view(bytes).substr(0, cut), &m, &size) == proto::Step::kMore);
+  }
+  REQUIRE(proto::Decode(bytes, &m, &size) == proto::Step::kMessage);
+  CHECK(size == bytes.size());
+  CHECK(m.task == 0xabcdef0123456789);
+  CHECK(m.CauseOr(-1) == 34);
+  CHECK(m.Get(proto::Code::kNote) == "busy");
+  CHECK_FALSE(m.Has(proto::Code::kReport));
+}
+
+TEST_CASE("the settings are flattened as the simulator's wire writes them") {
+  const nlohmann::json settings = {
+      {"A", {{"B", true}, {"C", {1, 2.5}}}}, {"S", {{{"N", "x y"}}, {{"N", "z"}}}}, {"T", 6000000000}};
+  CHECK(Flatten(settings) == "\tA.B=true\tA.C=1,2.5\tS.count=2\tS.0.N=x_y\tS.1.N=z\tT=6000000000");
+}
+
+TEST_CASE("a node's number comes from its uid, alike everywhere") {
+  CHECK(NodeOf("s-00c41f7a") == 0x00c41f7a);
+  CHECK(NodeOf("s-ffffffff") == 0xffffffff);
+  CHECK(NodeOf("rack nine") == NodeOf("rack nine"));
+  CHECK(NodeOf("rack nine") != NodeOf("rack ten"));
+}
+
+}  // namespace
+}  // namespace willowrail
--- /dev/null
+++ b/tests/story.h
@@ -0,0 +1,305 @@
+// Scripted peers for the stories: the real program as a child process, and owners, agents and a bulletin on
+// loopback sockets. Every wait is for an event; the limit only turns a hang into a failure.
+#pragma once
+
+#include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "net/connection.h"
+#include "proto/message.h"
+
+namespace willowrail::story {
+
+using nlohmann::json;
+using proto::Cause;
+using proto::Code;
+using proto::TaskId;
+using proto::Type;
+
+constexpr int kLimitMs = 10'000;
+
+inline sockaddr_in Loopback(int port) {
+  sockaddr_in address{};
+  REQUIRE(ParseAddress("127.0.0.1:" + std::to_string(port), &address));
+  return address;
+}
+
+struct Heard {  // a message that outlives its buffer
+  Type type{};
+  TaskId task = 0;
+  int cause = -1;
+  std::string class_name, wait, name, key, description, stay_away;
+};
+
+class Wire {  // one blocking connection
+ public:
+  explicit Wire(int socket) : socket_(socket) { REQUIRE(socket >= 0); }
+  static Wire To(int port) {
+    Wire wire(::socket(AF_INET, SOCK_STREAM, 0));
+    const sockaddr_in address = Loopback(port);
+    REQUIRE(::connect(wire.socket_, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+    return wire;
+  }
+  Wire(Wire&& o) noexcept : socket_(std::exchange(o.socket_, -1)), in_(std::move(o.in_)) {}
+  Wire& operator=(Wire&& o) noexcept {
+    std::swap(socket_, o.socket_);
+    std::swap(in_, o.in_);
+    return *this;
+  }
+  ~Wire() { Close(); }
+
+  void Close() {
+    if (socket_ >= 0) ::close(socket_);
+    socket_ = -1;
+  }
+  void Reset() {  // as a process that dies
+    const linger now{1, 0};
+    setsockopt(socket_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    Close();
+  }
+  void Raw(std::string_view bytes) {
+    REQUIRE(::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+  }
+  template <typename Fill>
+  void Say(Type type, TaskId task, Fill fill) {
+    std::string bytes;
+    {
+      proto::Writer writer(&bytes, type, task);
+      fill(writer);
+    }
+    Raw(bytes);
+  }
+  void Say(Type type, TaskId task) {
+    Say(type, task, [](proto::Writer&) {});
+  }
+  void Say(Type type, TaskId task, Cause cause) {
+    Say(type, task, [cause](proto::Writer& w) { w.Add(cause); });
+  }
+  void Answer(TaskId task, std::string_view description) {
+    Say(Type::kAnswer, task, [&](proto::Writer& w) { w.Add(Code::kDescription, description); });
+  }
+  bool Readable(int ms = 0) const {
+    pollfd wait{socket_, POLLIN, 0};
+    return ::poll(&wait, 1, ms) > 0;
+  }
+  // More bytes; empty where the other side has closed.
+  std::string Bytes() {
+    REQUIRE_MESSAGE(Readable(kLimitMs), "nothing came");
+    char bytes[4096];
+    const ssize_t got = ::recv(socket_, bytes, sizeof bytes, 0);
+    return got <= 0 ? "" : std::string(bytes, static_cast<std::size_t>(got));
+  }
+  bool Closed() { return Bytes().empty(); }
+  Heard Hear() {
+    proto::Message m;
+    std::size_t size = 0;
+    while (proto::Decode(in_, &m, &size) != proto::Step::kMessage) {
+      const std::string more = Bytes();
+      REQUIRE_MESSAGE(!more.empty(), "closed before a message came");
+      in_ += more;
+    }
+    const auto text = [&m](Code code) { return std::string(m.Get(code)); };
+    const Heard heard{m.type,
+                      m.task,
+                      m.CauseOr(-1),
+                      text(Code::kClass),
+                      text(Code::kWait),
+                      text(Code::kName),
+                      text(Code::kKey),
+                      text(Code::kDescription),
+                      text(Code::kStayAway)};
+    in_.erase(0, size);
+    return heard;
+  }
+  Heard Hear(Type type, TaskId task) {
+    const Heard heard = Hear();
+    CHECK(heard.type == type);
+    CHECK(heard.task == task);
+    return heard;
+  }
+  // Nothing was said before the answer to this test: what the program owes in order, it has written.
+  void NothingElse() {
+    const TaskId mark = 0xfeedULL << 32;
+    Say(Type::kTest, mark, Cause::kTestFailed);
+    Hear(Type::kTestResult, mark);
+  }
+
+ private:
+  int socket_;
+  std::string in_;
+};
+
+class Port {  // a listening socket: an agent's or the bulletin's
+ public:
+  Port() : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address = Loopback(0);
+    REQUIRE(::bind(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+    REQUIRE(::listen(socket_, 64) == 0);
+    socklen_t size = sizeof address;
+    getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
+    number_ = ntohs(address.sin_port);
+  }
+  ~Port() { Close(); }
+  Port(const Port&) = delete;
+  Port& operator=(const Port&) = delete;
+
+  int number() const { return number_; }
+  std::string endpoint() const { return "127.0.0.1:" + std::to_string(number_); }
+  bool Dialled(int ms = 0) const {
+    pollfd wait{socket_, POLLIN, 0};
+    return ::poll(&wait, 1, ms) > 0;
+  }
+  Wire Accept() {
+    REQUIRE_MESSAGE(Dialled(kLimitMs), "nobody dialled");
+    return Wire(::accept(socket_, nullptr, nullptr));
+  }
+  void Close() {
+    if (socket_ >= 0) ::close(std::exchange(socket_, -1));
+  }
+
+ private:
+  int socket_;
+  int number_ = 0;
+};
+
+inline json Node(const std::string& uid, const std::string& endpoint, double free_cores = 10,
+                 const std::string& state = "in_service", std::int64_t boot_ms = 0) {
+  return {{"uid", uid},         {"endpoint", endpoint}, {"az", "hall-a"},
+          {"model", "std"},     {"pod_group", 0},       {"state", state},
+          {"capacity_hint", 1}, {"boot_ms", boot_ms},   {"unasked", {free_cores, 100}}};
+}
+
+inline json Event(int number, const json& nodes, bool all = false) {
+  return {{"no", number}, {"roster", {{"rev", number}, {"all", all}, {"targets", nodes}}}};
+}
+
+// The classes: 0 safe, 1 keyed, 2 unsafe.
+inline json Settings() {
+  const auto service = [](const char* name, const char* effect) {
+    return json{{"Name", name},   {"Effect", effect},        {"Deadline", 30'000'000'000},
+                {"Group", "all"}, {"KeyTtl", 6'000'000'000}, {"Worth", 1}};
+  };
+  return {
+      {"Services", {service("safe", "pure"), service("keyed", "token"), service("unsafe", "side_effect")}},
+      {"Tenants", {{{"Name", "shop one"}, {"Portion", 1}}}},
+      {"FamilyInfo", {{"CoresByKind", {10}}, {"MemoryByKind", {100}}, {"View", true}, {"YesAt", "running"}}},
+      {"Allowed", {{"MostTries", 3}, {"DialTimeout", 250'000'000}, {"Keepalive", 15'000'000'000}}},
+      {"Discovery", "subscribe"},
+      {"Period", 2'000'000},
+      {"Zones", {"hall-a"}},
+      {"Kinds", {"std"}}};
+}
+
+class Program {
+ public:
+  // `limit`: descriptors it may hold, 0 for the usual.
+  Program(const json& nodes, const Port& bulletin, const json& settings = Settings(), rlim_t limit = 0) {
+    folder_ = std::filesystem::temp_directory_path() / "willowrail-story-XXXXXX";
+    std::string name = folder_.string();
+    REQUIRE(::mkdtemp(name.data()) != nullptr);
+    folder_ = name;
+    std::ofstream(folder_ / "config.json") << json{{"name", "n0"},
+                                                   {"listen", "127.0.0.1:0"},
+                                                   {"seed", "8c1f30d27a5be964"},
+                                                   {"bulletin", bulletin.endpoint()},
+                                                   {"known", {{"no", 1}, {"items", {Event(1, nodes, true)}}}},
+                                                   {"settings", settings}};
+    int log[2];
+    REQUIRE(::pipe(log) == 0);
+    process_ = ::fork();
+    if (process_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it does not outlive a test that is killed
+      ::setenv("ROUTER_CONFIG", (folder_ / "config.json").c_str(), 1);
+      ::dup2(log[1], STDERR_FILENO);
+      for (int i = 3; i < 256; ++i) ::close(i);
+      const rlimit most{limit, limit};
+      if (limit > 0) ::setrlimit(RLIMIT_NOFILE, &most);
+      ::execl(WILLOWRAIL_PROGRAM, "willowrail", nullptr);
+      std::_Exit(127);
+    }
+    ::close(log[1]);
+    log_ = log[0];
+    port_ = std::stoi(Logged("listens on 127.0.0.1:"));
+  }
+  ~Program() {
+    if (process_ > 0) {
+      ::kill(process_, SIGKILL);
+      ::waitpid(process_, nullptr, 0);
+    }
+    ::close(log_);
+    std::filesystem::remove_all(folder_);
+  }
+  Program(const Program&) = delete;
+  Program& operator=(const Program&) = delete;
+
+  Wire Owner() const { return Wire::To(port_); }
+  void Signal(int number) const { ::kill(process_, number); }
+  // The rest of the first line that holds `text`, read on from the last one found.
+  std::string Logged(const std::string& text) {
+    while (true) {
+      for (std::size_t end = read_.find('\n'); end != std::string::npos; end = read_.find('\n')) {
+        const std::string line = read_.substr(0, end);
+        read_.erase(0, end + 1);
+        const std::size_t at = line.find(text);
+        if (at != std::string::npos) return line.substr(at + text.size());
+      }
+      pollfd wait{log_, POLLIN, 0};
+      REQUIRE_MESSAGE(::poll(&wait, 1, kLimitMs) > 0, "never logged: " << text);
+      char bytes[4096];
+      const ssize_t got = ::read(log_, bytes, sizeof bytes);
+      REQUIRE_MESSAGE(got > 0, "the program ended before it logged: " << text);
+      read_.append(bytes, static_cast<std::size_t>(got));
+    }
+  }
+  // Waits until a counter has come to `value`.
+  void Counted(const std::string& counter, int value) {
+    for (int i = 0; i < kLimitMs / 10; ++i) {
+      Signal(SIGUSR1);
+      if (Logged("counter " + counter + " ") == std::to_string(value)) return;
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    FAIL("counter " << counter << " never came to " << value);
+  }
+  int ExitStatus() {
+    int status = 0;
+    ::waitpid(std::exchange(process_, -1), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  }
+
+ private:
+  std::filesystem::path folder_;
+  pid_t process_ = -1;
+  int log_ = -1, port_ = 0;
+  std::string read_;
+};
+
+// A set-up as owners send it.
+inline void Ask(Wire* owner, TaskId task, const std::string& class_name, int wait_ms = 25'000,
+                const std::string& more = "") {
+  owner->Say(Type::kSetUp, task, [&](proto::Writer& w) {
+    w.Add(Code::kClass, class_name).Add(Code::kWait, std::int64_t{wait_ms}).Add(Code::kTenant, "shop one");
+    w.Add(Code::kName, proto::TaskText(task + 7)).Add(Code::kFigures, "cores:1;memory:2;service:0b" + more);
+    if (class_name == "keyed") w.Add(Code::kKey, "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+    w.Add(Code::kDescription, std::string_view("run\0this", 8));
+  });
+}
+
+}  // namespace willowrail::story
--- /dev/null
+++ b/tests/story_test.cpp
@@ -0,0 +1,302 @@
+// Stories over loopback: the real program among scripted owners, agents and a bulletin, one for each failure
+// met or guarded against.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "story.h"
+
+namespace willowrail::story {
+namespace {
+
+constexpr TaskId kTask = 0x7f3a9c21e0b4d655, kOther = 0x1122334455667788;
+
+// One program, one bulletin, two agents; the module prefers the first, whose room is the larger.
+struct Site {
+  Port bulletin, first, second;
+  std::optional<Program> program;
+
+  void Start(const json& settings = Settings(), rlim_t limit = 0) {
+    program.emplace(json{Node("s-00000001", first.endpoint(), 10), Node("s-00000002", second.endpoint(), 5)},
+                    bulletin, settings, limit);
+  }
+};
+
+TEST_CASE_FIXTURE(Site, "a task is passed on unchanged, stands, and is released when it ends") {
+  Start();
+  Wire owner = program->Owner();
+  owner.Say(Type::kTest, 1, Cause::kTestFailed);
+  CHECK(owner.Hear(Type::kTestResult, 1).cause == 1);
+  Ask(&owner, kTask, "keyed");
+  Wire agent = first.Accept();
+  const Heard offer = agent.Hear(Type::kSetUp, kTask);
+  CHECK(offer.class_name == "keyed");
+  CHECK(offer.name == "7f3a9c21e0b4d65c");
+  CHECK(offer.key == "5c0f6e1a2b3d4c59a8b7c6d5e4f30211");
+  CHECK(offer.description == std::string("run\0this", 8));
+  CHECK(std::stoi(offer.wait) > 0);
+  CHECK(std::stoi(offer.wait) <= 25'000);
+  agent.Answer(kTask, std::string("up\0here", 7));
+  CHECK(owner.Hear(Type::kAnswer, kTask).description == std::string("up\0here", 7));
+  agent.Say(Type::kRelease, kTask, Cause::kEnded);
+  CHECK(owner.Hear(Type::kRelease, kTask).cause == 16);
+}
+
+TEST_CASE_FIXTURE(Site, "a task that ends while it is being started is over, not tried elsewhere") {
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "safe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Say(Type::kRelease, kTask, Cause::kEnded);
+  CHECK(owner.Hear(Type::kRelease, kTask).cause == 16);
+  owner.NothingElse();
+  CHECK_FALSE(second.Dialled());
+}
+
+TEST_CASE_FIXTURE(Site, "a refused dial proves that nothing ran: an unsafe task goes on to the next agent") {
+  first.Close();
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "unsafe");
+  Wire agent = second.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Answer(kTask, "there");
+  owner.Hear(Type::kAnswer, kTask);
+}
+
+TEST_CASE_FIXTURE(Site, "a connection that ends before the answer proves nothing: an unsafe task fails") {
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "unsafe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  SUBCASE("closed") { agent.Close(); }
+  SUBCASE("reset") { agent.Reset(); }
+  CHECK(owner.Hear(Type::kRelease, kTask).cause == 41);
+  owner.NothingElse();
+  CHECK_FALSE(second.Dialled());
+}
+
+TEST_CASE_FIXTURE(Site,
+                  "a refusal that the agent words goes on to the next agent, an answer after it is dropped") {
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "unsafe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Say(Type::kRelease, kTask, [](proto::Writer& w) {
+    w.Add(Cause::kFull).Add(Code::kNote, "busy").Add(Code::kReport, "x0:1;x1:2;queue:9");
+  });
+  Wire next = second.Accept();
+  next.Hear(Type::kSetUp, kTask);
+  agent.Answer(kTask, "late");
+  program->Counted("agent_stray", 1);  // its answer has been read by now
+  next.Answer(kTask, "there");
+  CHECK(owner.Hear(Type::kAnswer, kTask).description == "there");
+  owner.NothingElse();
+}
+
+TEST_CASE_FIXTURE(Site, "an attempt is given up on the wire before the next one goes out") {
+  json settings = Settings();
+  settings["FamilyInfo"]["YesAt"] = "accepted";  // then the module cuts attempts short
+  Start(settings);
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "safe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  Wire next = second.Accept();
+  next.Hear(Type::kSetUp, kTask);
+  REQUIRE(agent.Readable());
+  CHECK(agent.Hear(Type::kRelease, kTask).cause == 16);
+  next.Answer(kTask, "there");
+  CHECK(owner.Hear(Type::kAnswer, kTask).description == "there");
+}
+
+TEST_CASE_FIXTURE(Site, "what its owner gives up is given up at the agent and owed no answer") {
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "safe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  SUBCASE("by a release") { owner.Say(Type::kRelease, kTask, Cause::kEnded); }
+  SUBCASE("by closing") {
+    owner.Close();
+    owner = program->Owner();
+  }
+  CHECK(agent.Hear(Type::kRelease, kTask).cause == 16);
+  agent.Answer(kTask, "late");
+  program->Counted("agent_stray", 1);
+  owner.NothingElse();
+}
+
+TEST_CASE_FIXTURE(Site, "a request that nobody can take is refused, in time for its owner") {
+  first.Close();
+  second.Close();
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "unsafe", 300);
+  CHECK(owner.Hear(Type::kRelease, kTask).cause == 42);
+  owner.NothingElse();
+}
+
+TEST_CASE_FIXTURE(Site, "an owner's release cuts the task at its agent and is owed none back") {
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "safe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Answer(kTask, "there");
+  owner.Hear(Type::kAnswer, kTask);
+  Wire another = program->Owner();  // any connection does
+  another.Say(Type::kRelease, kTask, Cause::kEnded);
+  CHECK(agent.Hear(Type::kRelease, kTask).cause == 31);
+  // The cut is told again on a new way, until the agent says that the task is over.
+  agent.Close();
+  agent = first.Accept();
+  agent.Hear(Type::kRelease, kTask);
+  agent.Say(Type::kRelease, kTask, Cause::kCancelled);
+  program->Counted("agent_releases", 1);
+  owner.NothingElse();
+  another.NothingElse();
+}
+
+TEST_CASE_FIXTURE(Site, "a task outlives connections: after an idle close the agent is dialled again") {
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "safe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Answer(kTask, "there");
+  owner.Hear(Type::kAnswer, kTask);
+  agent.Close();
+  agent = first.Accept();
+  owner.NothingElse();
+  owner.Close();
+  program->Counted("owner_closed",
+                   1);  // no owner is connected when the release comes: the next one to connect hears it
+  agent.Say(Type::kRelease, kTask, Cause::kEnded);
+  program->Counted("releases_held", 1);
+  owner = program->Owner();
+  CHECK(owner.Hear(Type::kRelease, kTask).cause == 16);
+}
+
+TEST_CASE_FIXTURE(Site, "a process that dies takes its tasks with it: reset, then refused") {
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "safe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Answer(kTask, "there");
+  owner.Hear(Type::kAnswer, kTask);
+  first.Close();
+  agent.Reset();
+  CHECK(owner.Hear(Type::kRelease, kTask).cause == 41);
+}
+
+TEST_CASE_FIXTURE(Site, "a task handed over by its node wants no answer and may be named twice") {
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "unsafe", 1000, ";at:s-00000002");
+  Ask(&owner, kTask, "unsafe", 1000, ";at:s-00000002");
+  Wire agent = second.Accept();  // a way is opened, so that the end can be heard
+  owner.NothingElse();
+  agent.Say(Type::kRelease, kTask, Cause::kReset);
+  CHECK(owner.Hear(Type::kRelease, kTask).cause == 41);
+  owner.NothingElse();
+}
+
+TEST_CASE_FIXTURE(Site, "nodes are known by uid: one that takes over an address is another") {
+  Start();
+  Wire feed = bulletin.Accept();
+  feed.Bytes();
+  feed.Raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n");
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "safe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Answer(kTask, "there");
+  owner.Hear(Type::kAnswer, kTask);
+  const json change = Event(
+      2, {Node("s-00000001", first.endpoint(), 10, "terminated"), Node("s-00000003", first.endpoint(), 10)});
+  feed.Raw("id: 2\ndata: " + change.dump() + "\n\n");
+  CHECK(owner.Hear(Type::kRelease, kTask).cause == 41);
+  Ask(&owner, kOther, "safe");
+  Wire heir = first.Accept();
+  heir.Hear(Type::kSetUp, kOther);
+}
+
+TEST_CASE_FIXTURE(Site, "a broken bulletin is taken up where it broke off, silence counts as a break") {
+  Start();
+  Wire feed = bulletin.Accept();
+  CHECK(feed.Bytes().find("GET /bulletins HTTP/1.1\r\n") == 0);
+  const std::string event =
+      Event(2, json::array({Node("s-00000001", first.endpoint(), 10, "terminating")})).dump();
+  // Chunked, and an event in pieces: nothing depends on how the bytes are cut.
+  feed.Raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (const std::string& piece : {"id: 2\ndata: " + event.substr(0, 20), event.substr(20) + "\n\n"}) {
+    char size[20];
+    std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
+    feed.Raw(size + piece + "\r\n");
+  }
+  SUBCASE("broken") { feed.Close(); }
+  SUBCASE("silent") {}
+  Wire again = bulletin.Accept();
+  CHECK(again.Bytes().find("Last-Event-ID: 2\r\n") != std::string::npos);
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "safe");  // what was told still holds: the first node drains
+  second.Accept().Hear(Type::kSetUp, kTask);
+}
+
+TEST_CASE_FIXTURE(Site, "what is malformed closes its own connection and nothing else") {
+  Start();
+  Wire owner = program->Owner(), bad = program->Owner();
+  SUBCASE("shorter than a message") { bad.Raw(std::string("\0\3\1xx", 5)); }
+  SUBCASE("longer than any message") { bad.Raw("\xff\xff"); }
+  SUBCASE("a parameter past the end") {
+    bad.Raw(
+        std::string("\0\x0d\1"
+                    "12345678"
+                    "\x64\0\x09z",
+                    15));
+  }
+  SUBCASE("an unknown class") { Ask(&bad, kOther, "unheard of"); }
+  CHECK(bad.Closed());
+  owner.NothingElse();
+}
+
+TEST_CASE_FIXTURE(Site, "running out of descriptors delays owners and loses none") {
+  Start(Settings(), 24);
+  std::vector<Wire> owners;
+  for (int i = 0; i < 40; ++i) owners.push_back(program->Owner());
+  program->Logged("accept: ");
+  for (int i = 0; i < 30; ++i) owners[static_cast<std::size_t>(i)].Close();
+  owners.back().NothingElse();
+}
+
+TEST_CASE_FIXTURE(Site, "after SIGTERM what still arrives is served, all is settled, and the exit is 0") {
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "safe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  program->Signal(SIGTERM);
+  program->Logged("stopping");
+  Wire late = program->Owner();
+  Ask(&late, kOther, "safe");
+  agent.Hear(Type::kSetUp, kOther);
+  agent.Answer(kOther, "there");
+  late.Hear(Type::kAnswer, kOther);
+  agent.Answer(kTask, "there");
+  owner.Hear(Type::kAnswer, kTask);
+  CHECK(program->Logged("counter setups_taken ") == "2");
+  CHECK(program->ExitStatus() == 0);
+  CHECK(agent.Closed());  // and was told of no cut: tasks that stand live on
+}
+
+TEST_CASE_FIXTURE(Site, "counters are printed on request") {
+  Start();
+  program->Owner().NothingElse();
+  program->Signal(SIGUSR1);
+  CHECK(program->Logged("counter tests_answered ") == "1");
+}
+
+}  // namespace
+}  // namespace willowrail::story
