--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -28,13 +28,13 @@
   if (value.is_object()) {
     for (const auto& [key, item] : value.items()) FlattenInto(below + key, item, out);
   } else if (value.is_array() && !value.empty() && value[0].is_structured()) {
-    *out += "\t" + below + "count=" + std::to_string(value.size());
+    out->append("\t").append(below).append("count=").append(std::to_string(value.size()));
     for (std::size_t i = 0; i < value.size(); ++i) FlattenInto(below + std::to_string(i), value[i], out);
   } else if (value.is_array()) {
-    *out += "\t" + path + "=";
+    out->append("\t").append(path).append("=");
     for (std::size_t i = 0; i < value.size(); ++i) *out += (i > 0 ? "," : "") + Plain(value[i]);
   } else {
-    *out += "\t" + path + "=" + Plain(value);
+    out->append("\t").append(path).append("=").append(Plain(value));
   }
 }
 
