--- a/include/passbridge/scheduler.h
+++ b/include/passbridge/scheduler.h
@@ -32,9 +32,10 @@
 enum class Reason { kUntold, kNoCores, kNoMemory, kQueueFull, kNotHere, kEvicted, kPushedOut, kSentAway };
 enum class NoteKind { kRuns = 1, kCoresUsed, kMemoryUsed, kServed, kNodeMemory };
 
-// No decision reads these so far; they are told to every scheduler, and tests and embedders fill them in: of a
-// class its name, aim, late_share, start_seconds and priority; of a tenant its name and portion; cancelling,
-// says_use, says_pressure, answer_slack, drain_grace and its own zone; nominal, version, name, repeat, again and lasts.
+// No decision reads these so far; they are told to every scheduler, and tests and embedders fill them in: of
+// a class its name, aim, late_share, start_seconds and priority; of a tenant its name and portion;
+// cancelling, says_use, says_pressure, answer_slack, drain_grace and its own zone; nominal, version, name,
+// repeat, again and lasts.
 struct ClassSettings {
   std::string name;
   Time aim = 0;
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -6,18 +6,52 @@
 
 namespace willowrail {
 
-#define WILLOWRAIL_COUNTERS(X)                                                                              \
-  X(owner_connections)                                                                                      \
-  X(owner_closed)                                                                                           \
-  X(agent_dials) X(agent_dials_failed) X(agent_resets) X(accept_failed) X(bulletin_connects)                \
-      X(bulletin_breaks) X(bulletin_events) X(setups_taken) X(setups_at) X(setups_at_held) X(setups_resent) \
-          X(setups_bad) X(tests_answered) X(owner_give_ups) X(owner_releases) X(owner_closed_open)          \
-              X(owner_heard) X(answers_sent) X(refusals_sent) X(failures_sent) X(releases_sent)             \
-                  X(releases_held) X(moves_sent) X(offers_sent) X(offers_unsent) X(give_ups_sent)           \
-                      X(cuts_sent) X(probes_sent) X(agent_answers) X(agent_refusals) X(agent_releases)      \
-                          X(agent_notes) X(agent_stray) X(probe_answers) X(attempts_timed_out)              \
-                              X(attempts_reset) X(attempts_no_connection) X(tasks_lost) X(malformed)        \
-                                  X(stuck_writes)
+// One counter a line.
+// clang-format off
+#define WILLOWRAIL_COUNTERS(X) \
+  X(owner_connections) \
+  X(owner_closed) \
+  X(agent_dials) \
+  X(agent_dials_failed) \
+  X(agent_resets) \
+  X(accept_failed) \
+  X(bulletin_connects) \
+  X(bulletin_breaks) \
+  X(bulletin_events) \
+  X(setups_taken) \
+  X(setups_at) \
+  X(setups_at_held) \
+  X(setups_resent) \
+  X(setups_bad) \
+  X(tests_answered) \
+  X(owner_give_ups) \
+  X(owner_releases) \
+  X(owner_closed_open) \
+  X(owner_heard) \
+  X(answers_sent) \
+  X(refusals_sent) \
+  X(failures_sent) \
+  X(releases_sent) \
+  X(releases_held) \
+  X(moves_sent) \
+  X(offers_sent) \
+  X(offers_unsent) \
+  X(give_ups_sent) \
+  X(cuts_sent) \
+  X(probes_sent) \
+  X(agent_answers) \
+  X(agent_refusals) \
+  X(agent_releases) \
+  X(agent_notes) \
+  X(agent_stray) \
+  X(probe_answers) \
+  X(attempts_timed_out) \
+  X(attempts_reset) \
+  X(attempts_no_connection) \
+  X(tasks_lost) \
+  X(malformed) \
+  X(stuck_writes)
+// clang-format on
 
 struct Counters {
 #define X(name) std::uint64_t name = 0;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -340,8 +340,9 @@
   for (const auto& [node, count] : services_on) EXPECT_LE(count, 20) << node;
 }
 
-// Rule 4 at size: more schedulers than sends in the budget, on one clock, some restarted in between, some that
-// hear of the node late. All together stay within the budget in every window, and the node still gets work.
+// Rule 4 at size: more schedulers than sends in the budget, on one clock, some restarted in between, some
+// that hear of the node late. All together stay within the budget in every window, and the node still gets
+// work.
 TEST(ColdNodes, ManySchedulersShareTheBudgetByTurns) {
   Settings s = Basic();
   s.scheduler_count = 60;
