Give set-ups agent connections of their own, end spoilt answers, empty every table

Now: up to 4 connections to an agent, as the descriptors allow, a set-up on one that has none open; a message may be unfinished for 400 ms; noise, a release without a cause, an answer without a description close the connection; what answers an attempt must come by its connection and after it left. Connections on which something went unanswered are in doubt, and others are dialled beside them; a dial proves a death only where nothing else is heard. Each table has an owner that empties it; sizes are printed with the counters.

--- a/include/passbridge/scheduler.h
+++ b/include/passbridge/scheduler.h
@@ -2,6 +2,7 @@
 // Types only; every decision is in src/logic.cpp. All times are nanoseconds of the caller's event clock.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -230,6 +231,8 @@
 
   // Events come in order, the clock never goes back. The actions are to be carried out as they stand.
   std::vector<Action> Handle(const Event& event, Time now);
+  // How many nodes and services it holds something of.
+  std::size_t size() const;
 
  private:
   struct State;
--- a/src/agents/pool.cpp
+++ b/src/agents/pool.cpp
@@ -1,6 +1,7 @@
 #include "agents/pool.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "net/counters.h"
@@ -21,7 +22,12 @@
 using proto::Writer;
 
 constexpr Time kRedial = 400 * kMs;
-constexpr Time kIdleMargin = kSecond;  // no set-up goes where the agent may be closing for idleness
+constexpr Time kForget = kSecond;
+constexpr Time kUnfinished = 400 * kMs;    // of a message: its pieces follow at once, or never
+constexpr std::size_t kMostLines = 4;      // connections to one agent
+constexpr std::size_t kBesideDoubted = 2;  // more where those are in doubt
+constexpr int kSpare = 16;                 // descriptors for the listener, the bulletin, the loop and files
+constexpr Time kIdleMargin = kSecond;      // no set-up goes where the agent may be closing for idleness
 
 Outcome BeforeAnswer(int cause) {
   switch (static_cast<Cause>(cause)) {
@@ -78,8 +84,16 @@
 
 }  // namespace
 
-Pool::Pool(Loop* loop, PoolTimes times, std::uint64_t seed, AgentEvents* events)
-    : loop_(loop), times_(times), events_(events), next_test_(seed | 1) {}
+Pool::Pool(Loop* loop, PoolTimes times, int sockets, std::uint64_t seed, AgentEvents* events)
+    : loop_(loop), times_(times), sockets_(sockets), events_(events), next_test_(seed | 1) {
+  ForgetGone();
+}
+
+std::size_t Pool::open() const {
+  std::size_t all = 0;
+  for (const auto& [node, peer] : peers_) all += peer.open.size();
+  return all;
+}
 
 void Pool::Know(const ListedNode& node) {
   Peer& peer = peers_[node.entry.node];
@@ -87,34 +101,83 @@
   // Guards against addresses that are used again: nothing dials a node that has gone, since another may
   // answer there.
   peer.gone = node.entry.state == passbridge::NodeState::kGone;
-  if (Needed(peer) && peer.way == 0 && peer.dialing == 0) Dial(node.entry.node, &peer);
+  KeepWay(node.entry.node, &peer);
+}
+
+// Guards against tables that only grow: agents come and go all day. A node that has gone is forgotten once
+// nothing of it is left here.
+void Pool::ForgetGone() {
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    const Peer& peer = it->second;
+    const bool idle = peer.open.empty() && peer.tests.empty() && peer.hopeless.empty() &&
+                      std::ranges::all_of(peer.lines, [this](Handle handle) {
+                        const Line* line = lines_.Get(handle);
+                        return line == nullptr || line->waiting.empty();
+                      });
+    if (!idle || Needed(peer) || (peer.known && !peer.gone)) {
+      ++it;
+      continue;
+    }
+    for (const Handle handle : std::vector<Handle>(peer.lines)) Remove(handle);
+    loop_->TakeDown(peer.redial);
+    it = peers_.erase(it);
+  }
+  loop_->After(kForget, [this] { ForgetGone(); });
 }
 
 // --- Sending -----------------------------------------------------------------------------------------------
-// The connection to write to, or null where one has to be dialled first.
-Connection* Pool::Way(Peer* peer) {
-  Line* line = lines_.Get(peer->way);
-  if (line == nullptr || !line->connection->up()) return nullptr;
-  // Guards against a set-up that crosses an idle close: it would count as one that may have run.
-  const Time idle = loop_->Now() - line->connection->last_traffic;
-  return idle < times_.keepalive - kIdleMargin ? line->connection.get() : nullptr;
+// The connection to write to: one that answers, with the fewest set-ups open. Null where none is up.
+Pool::Line* Pool::Best(const Peer& peer) {
+  const auto rank = [](const Line& line) {
+    return std::tuple(line.doubted, line.open, -line.connection->last_traffic);
+  };
+  Line* best = nullptr;
+  for (const Handle handle : peer.lines) {
+    Line* line = lines_.Get(handle);
+    if (line == nullptr || !line->connection->up()) continue;
+    // Guards against a set-up that crosses an idle close: it would count as one that may have run.
+    if (loop_->Now() - line->connection->last_traffic >= times_.keepalive - kIdleMargin) continue;
+    if (best == nullptr || rank(*line) < rank(*best)) best = line;
+  }
+  return best;
+}
+
+Pool::Line* Pool::Dialling(const Peer& peer) {
+  for (const Handle handle : peer.lines) {
+    Line* line = lines_.Get(handle);
+    if (line != nullptr && line->heard == 0) return line;
+  }
+  return nullptr;
 }
 
+// Guards against one spoilt answer, or one reset, that ends many set-ups: each goes on a connection of its
+// own while there are few.
 void Pool::Offer(NodeId node, TaskId id, const Passage& passage, Time until) {
   Peer& peer = peers_[node];
   const Waiting waiting{id, passage, until};
-  if (Connection* way = Way(&peer)) {
-    SendSetUp(&peer, way, waiting);
-    return;
+  const std::size_t room = static_cast<std::size_t>(std::max(sockets_ / 2 - kSpare, 1));
+  const std::size_t most = std::clamp<std::size_t>(room / peers_.size(), 1, kMostLines);
+  Line* best = Best(peer);
+  const bool sound = best != nullptr && !best->doubted;
+  if (sound && (best->open == 0 || peer.lines.size() >= most)) {
+    SendSetUp(&peer, best, waiting);
+  } else if (Line* dialling = Dialling(peer); dialling != nullptr && peer.lines.size() >= most) {
+    dialling->waiting.push_back(waiting);
+  } else if (best != nullptr && peer.lines.size() >= most + kBesideDoubted) {
+    SendSetUp(&peer, best, waiting);
+  } else if (Line* line = Dial(node, &peer)) {
+    line->waiting.push_back(waiting);
+  } else {
+    peer.hopeless.push_back(waiting);
+    loop_->After(0, [this, node] { Hopeless(node); });  // never inside the caller's turn: it is news
   }
-  peer.waiting.push_back(waiting);
-  Dial(node, &peer);
 }
 
-void Pool::SendSetUp(Peer* peer, Connection* way, const Waiting& w) {
+void Pool::SendSetUp(Peer* peer, Line* line, const Waiting& w) {
   ++counters.offers_sent;
-  peer->open[w.id] = way->tag;
-  Writer message(way->out(), Type::kSetUp, w.id);
+  peer->open[w.id] = {line->connection->tag, loop_->turn()};
+  ++line->open;
+  Writer message(line->connection->out(), Type::kSetUp, w.id);
   message.Add(Code::kClass, w.passage.class_name)
       .Add(Code::kWait, std::max<Time>(1, (w.until - loop_->Now()) / kMs))
       .Add(Code::kName, w.passage.name);
@@ -124,15 +187,22 @@
 
 bool Pool::GiveUp(NodeId node, TaskId id) {
   Peer& peer = peers_[node];
-  if (std::erase_if(peer.waiting, [id](const Waiting& w) { return w.id == id; }) > 0) {
+  const auto its = [id](const Waiting& w) { return w.id == id; };
+  std::size_t unsent = std::erase_if(peer.hopeless, its);
+  for (const Handle handle : peer.lines) {
+    if (Line* line = lines_.Get(handle)) unsent += std::erase_if(line->waiting, its);
+  }
+  if (unsent > 0) {
     ++counters.offers_unsent;
     return false;
   }
   const auto it = peer.open.find(id);
   if (it == peer.open.end()) return true;
-  Line* line = lines_.Get(it->second);
+  const Handle handle = it->second.line;
   peer.open.erase(it);
+  Line* line = lines_.Get(handle);
   if (line == nullptr || !line->connection->up()) return true;  // its connection took the set-up with it
+  --line->open;
   ++counters.give_ups_sent;
   Connection* connection = line->connection.get();
   Writer(connection->out(), Type::kRelease, id).Add(Cause::kEnded);
@@ -143,48 +213,60 @@
     connection->Close();
     OnEnd(*connection, Ending::kReset);
   }
-  Doubt(node, &peers_[node], loop_->Now() - times_.dial);
+  Doubt(node, handle, loop_->Now() - times_.dial);
   return true;
 }
 
 void Pool::Cut(NodeId node, TaskId id) {
   Peer& peer = peers_[node];
-  peer.cuts.insert(id);  // until the agent says that it is over: a connection may take this with it
-  if (Connection* way = Way(&peer)) {
-    ++counters.cuts_sent;
-    Writer(way->out(), Type::kRelease, id).Add(Cause::kCancelled);
+  Handle& sent_on = peer.cuts[id] = 0;  // until the agent says that it is over
+  if (Line* line = Best(peer)) {
+    SendCut(id, &sent_on, line);
   } else {
-    Dial(node, &peer);
+    KeepWay(node, &peer);
   }
 }
 
+void Pool::SendCut(TaskId id, Handle* sent_on, Line* line) {
+  ++counters.cuts_sent;
+  *sent_on = line->connection->tag;
+  Writer(line->connection->out(), Type::kRelease, id).Add(Cause::kCancelled);
+}
+
 void Pool::Stands(NodeId node, TaskId id, bool stands) {
   Peer& peer = peers_[node];
   if (stands) {
     peer.standing.insert(id);
-    if (lines_.Get(peer.way) == nullptr) Dial(node, &peer);
+    KeepWay(node, &peer);
   } else {
     peer.standing.erase(id);
     peer.cuts.erase(id);
   }
 }
 
+// Where any task stands, a way is open or being dialled.
+void Pool::KeepWay(NodeId node, Peer* peer) {
+  if (Needed(*peer) && peer->lines.empty() && peer->redial == 0) Dial(node, peer);
+}
+
 void Pool::Probe(NodeId node) {
   Peer& peer = peers_[node];
   const TaskId id = next_test_ += 2;
   const Handle timer =
       loop_->After(2 * times_.dial, [this, node, id] { EndTest(node, id, Outcome::kTimedOut, {}); });
-  peer.tests.push_back({id, loop_->Now(), timer});
-  if (Connection* way = Way(&peer)) {
-    SendTest(&peer, way, id);
-  } else {
-    Dial(node, &peer);
+  peer.tests.push_back({id, loop_->Now(), timer, 0});
+  Line* best = Best(peer);
+  if (best != nullptr && !best->doubted) {
+    SendTest(&peer.tests.back(), best);
+  } else if (Dialling(peer) == nullptr && Dial(node, &peer) == nullptr) {
+    loop_->After(0, [this, node] { Hopeless(node); });
   }
 }
 
-void Pool::SendTest(Peer*, Connection* way, TaskId id) {
+void Pool::SendTest(Testing* test, Line* line) {
   ++counters.probes_sent;
-  Writer(way->out(), Type::kTest, id).Add(Cause::kTestPassed);
+  test->line = line->connection->tag;
+  Writer(line->connection->out(), Type::kTest, test->id).Add(Cause::kTestPassed);
 }
 
 void Pool::EndTest(NodeId node, TaskId id, Outcome outcome, Report report) {
@@ -196,55 +278,104 @@
   loop_->TakeDown(test.timer);
   if (outcome == Outcome::kTimedOut) {
     Log("agent %u: a test went unanswered", node);
-    Doubt(node, &peer, test.asked);
+    Doubt(node, test.line, test.asked);
   }
   events_->OnProbed(node, outcome, loop_->Now() - test.asked, std::move(report));
 }
 
 void Pool::CloseIdle(NodeId node) {
   Peer& peer = peers_[node];
-  Line* line = lines_.Get(peer.way);
-  if (line == nullptr || Needed(peer) || !peer.open.empty() || !peer.tests.empty()) return;
-  const Handle way = std::exchange(peer.way, 0);
-  loop_->Bury(std::move(line->connection));
-  lines_.Erase(way);
+  if (Needed(peer) || !peer.open.empty() || !peer.tests.empty()) return;
+  for (const Handle handle : std::vector<Handle>(peer.lines)) {
+    if (const Line* line = lines_.Get(handle); line != nullptr && line->waiting.empty()) Remove(handle);
+  }
 }
 
 // --- Connections -------------------------------------------------------------------------------------------
-void Pool::Dial(NodeId node, Peer* peer) {
-  if (lines_.Get(peer->dialing) != nullptr) return;
+// Null where there is nobody to dial.
+Pool::Line* Pool::Dial(NodeId node, Peer* peer) {
   loop_->TakeDown(std::exchange(peer->redial, 0));
-  if (!peer->known || peer->gone) {
-    // Never inside the caller's turn: the outcome is news of its own.
-    peer->redial = loop_->After(0, [this, node] { DialFailed(node, Ending::kReset); });
-    return;
-  }
+  if (!peer->known || peer->gone) return nullptr;
   ++counters.agent_dials;
-  peer->dialing = lines_.Insert({std::make_unique<Connection>(loop_, peer->address, this), node});
-  lines_.Get(peer->dialing)->connection->tag = peer->dialing;
-  peer->dial_timer = loop_->After(times_.dial, [this, node] { DialFailed(node, Ending::kReset); });
+  Line fresh;
+  fresh.connection = std::make_unique<Connection>(loop_, peer->address, this);
+  fresh.node = node;
+  fresh.dialled = loop_->Now();
+  const Handle handle = lines_.Insert(std::move(fresh));
+  peer->lines.push_back(handle);
+  Line* line = lines_.Get(handle);
+  line->connection->tag = handle;
+  line->timer = loop_->After(times_.dial, [this, handle] { DialFailed(handle, Ending::kReset); });
+  return line;
 }
 
-void Pool::DialFailed(NodeId node, Ending ending) {
-  Peer& peer = peers_[node];
+void Pool::Remove(Handle handle) {
+  Line* line = lines_.Get(handle);
+  if (line == nullptr) return;
+  std::erase(peers_[line->node].lines, handle);
+  loop_->TakeDown(line->timer);
+  loop_->Bury(std::move(line->connection));
+  lines_.Erase(handle);
+}
+
+void Pool::DialFailed(Handle handle, Ending ending) {
+  Line* line = lines_.Get(handle);
+  if (line == nullptr) return;
+  const NodeId node = line->node;
+  const Time dialled = line->dialled;
+  const std::vector<Waiting> waiting = std::move(line->waiting);
+  Remove(handle);
+  Peer* peer = &peers_[node];
   ++counters.agent_dials_failed;
   Log("agent %u: dial %s, %zu set-ups and %zu tests waiting, %zu tasks stand", node,
-      ending == Ending::kRefused ? "refused" : "failed", peer.waiting.size(), peer.tests.size(),
-      peer.standing.size());
-  loop_->TakeDown(std::exchange(peer.dial_timer, 0));
-  if (Line* line = lines_.Get(peer.dialing)) loop_->Bury(std::move(line->connection));
-  lines_.Erase(std::exchange(peer.dialing, 0));
-  for (const Waiting& w : std::exchange(peer.waiting, {})) {
+      ending == Ending::kRefused ? "refused" : "failed", waiting.size(), peer->tests.size(),
+      peer->standing.size());
+  std::vector<TaskId> unsent;
+  for (const Waiting& w : waiting) {
+    Line* other = Best(*peer);
+    if (other != nullptr && !other->doubted) {
+      SendSetUp(peer, other, w);
+    } else {
+      unsent.push_back(w.id);
+    }
+  }
+  // Tells a death from a machine that is cut off: only where a process was can a connection be refused, and
+  // then none that it had says anything.
+  bool dead = ending == Ending::kRefused;
+  for (const Handle each : peer->lines) {
+    Line* other = lines_.Get(each);
+    if (ending != Ending::kRefused || other->heard == 0) continue;
+    if (other->heard >= dialled) dead = false;
+    if (!std::exchange(other->doubted, true)) dead = false;
+  }
+  for (const TaskId id : unsent) {
+    ++counters.attempts_no_connection;
+    events_->OnEnd(node, id, {Outcome::kNoConnection, Outcome::kAborted, Reason::kUntold, {}});
+  }
+  Hopeless(node);
+  if (dead) events_->OnDead(node);
+  peer = &peers_[node];
+  if (dead) peer->cuts.clear();
+  if (Needed(*peer) && !peer->gone && (peer->lines.empty() || ending == Ending::kRefused)) {
+    RedialLater(node, peer);
+  }
+}
+
+// What waits and has nowhere to go has not been sent.
+void Pool::Hopeless(NodeId node) {
+  Peer& peer = peers_[node];
+  const std::vector<Waiting> waiting = std::exchange(peer.hopeless, {});
+  std::vector<TaskId> tests;
+  if (Dialling(peer) == nullptr) {
+    for (const Testing& test : peer.tests) {
+      if (test.line == 0) tests.push_back(test.id);
+    }
+  }
+  for (const Waiting& w : waiting) {
     ++counters.attempts_no_connection;
     events_->OnEnd(node, w.id, {Outcome::kNoConnection, Outcome::kAborted, Reason::kUntold, {}});
   }
-  const std::vector<Testing> tests = peer.tests;
-  for (const Testing& test : tests) EndTest(node, test.id, Outcome::kNoConnection, {});
-  // Tells a death from a machine that is cut off: only where a process was can a connection be refused.
-  if (ending == Ending::kRefused) events_->OnDead(node);
-  Peer& after = peers_[node];
-  if (ending == Ending::kRefused) after.cuts.clear();
-  if (Needed(after) && !after.gone) RedialLater(node, &after);
+  for (const TaskId id : tests) EndTest(node, id, Outcome::kNoConnection, {});
 }
 
 void Pool::RedialLater(NodeId node, Peer* peer) {
@@ -252,107 +383,163 @@
   peer->redial = loop_->After(kRedial, [this, node] {
     Peer& again = peers_[node];
     again.redial = 0;
-    if (Needed(again) && !again.gone) Dial(node, &again);
+    if (Needed(again) && Dialling(again) == nullptr) Dial(node, &again);
   });
 }
 
-// Something went unanswered. Where nothing at all was heard since, the connection may be cut off for good:
-// another is tried beside it, and what the agent holds back arrives on that.
-void Pool::Doubt(NodeId node, Peer* peer, Time since) {
-  if (peer->heard < since && peer->dialing == 0 && peer->redial == 0) Dial(node, peer);
+// Something went unanswered. Where nothing at all was heard on that connection since, it may be cut off for
+// good: another is tried beside it, and what the agent holds back arrives on that.
+void Pool::Doubt(NodeId node, Handle handle, Time since) {
+  Line* line = lines_.Get(handle);
+  if (line == nullptr || line->heard >= since) return;
+  line->doubted = true;
+  Peer& peer = peers_[node];
+  const Line* best = Best(peer);
+  if ((best == nullptr || best->doubted) && Dialling(peer) == nullptr && peer.redial == 0) Dial(node, &peer);
 }
 
 void Pool::OnUp(Connection& connection) {
-  const Line* line = lines_.Get(connection.tag);
+  Line* line = lines_.Get(connection.tag);
   if (line == nullptr) return;
-  const NodeId node = line->node;
-  Peer& peer = peers_[node];
-  if (peer.dialing == connection.tag) {
-    loop_->TakeDown(std::exchange(peer.dial_timer, 0));
-    peer.dialing = 0;
+  loop_->TakeDown(std::exchange(line->timer, 0));
+  line->heard = loop_->Now();
+  Peer& peer = peers_[line->node];
+  for (const Waiting& w : std::exchange(line->waiting, {})) SendSetUp(&peer, line, w);
+  for (Testing& test : peer.tests) {
+    if (lines_.Get(test.line) == nullptr) SendTest(&test, line);
   }
-  peer.way = connection.tag;
-  for (const Waiting& w : std::exchange(peer.waiting, {})) SendSetUp(&peer, &connection, w);
-  for (const Testing& test : peer.tests) SendTest(&peer, &connection, test.id);
-  for (const TaskId id : peer.cuts) {
-    ++counters.cuts_sent;
-    Writer(connection.out(), Type::kRelease, id).Add(Cause::kCancelled);
+  for (auto& [id, sent_on] : peer.cuts) {
+    const Line* before = lines_.Get(sent_on);
+    if (before == nullptr || before->doubted) SendCut(id, &sent_on, line);
   }
 }
 
 std::size_t Pool::OnData(Connection& connection, std::string_view data) {
-  const Line* line = lines_.Get(connection.tag);
+  const Handle handle = connection.tag;
+  Line* line = lines_.Get(handle);
   if (line == nullptr) return data.size();
   const NodeId node = line->node;
-  peers_[node].heard = loop_->Now();
-  bool malformed = false;
+  line->heard = loop_->Now();
+  line->doubted = false;
+  bool malformed = false, noise = false;
   const std::size_t taken = proto::DecodeAll(data, &malformed, [&](const Message& message) {
-    return Take(node, connection, message) && connection.open();
+    noise = !Take(node, connection, message);
+    return !noise && connection.open();
   });
-  if (malformed && connection.open()) {
+  if (!connection.open()) return taken;
+  if (malformed || noise) {
     ++counters.malformed;
-    Log("an agent's message is malformed, closing its connection");
+    Log("agent %u: what it says cannot be read, closing its connection", node);
     connection.Close();
     OnEnd(connection, Ending::kReset);
+  } else if (line = lines_.Get(handle); taken < data.size() && line != nullptr && line->timer == 0) {
+    line->timer = loop_->After(kUnfinished, [this, handle] { WatchAge(handle); });
   }
   return taken;
 }
 
+// Guards against a message that stops short, or claims more than comes: whatever follows on that connection
+// would be taken for a part of it, so that every set-up there waited until its deadline.
+void Pool::WatchAge(Handle handle) {
+  Line* line = lines_.Get(handle);
+  if (line == nullptr) return;
+  line->timer = 0;
+  Connection& connection = *line->connection;
+  const Time since = connection.unfinished_since;
+  if (since == 0) return;
+  if (loop_->Now() - since < kUnfinished) {
+    line->timer = loop_->At(since + kUnfinished, [this, handle] { WatchAge(handle); });
+    return;
+  }
+  ++counters.unfinished;
+  Log("agent %u: a message of its does not end, closing its connection", line->node);
+  connection.Close();
+  OnEnd(connection, Ending::kReset);
+}
+
 void Pool::OnEnd(Connection& connection, Ending ending) {
   const Handle handle = connection.tag;
-  Line* line = lines_.Get(handle);
+  const Line* line = lines_.Get(handle);
   if (line == nullptr) return;
-  const NodeId node = line->node;
-  if (peers_[node].dialing == handle) {
-    DialFailed(node, ending);
+  if (line->heard == 0) {
+    DialFailed(handle, ending);
     return;
   }
+  const NodeId node = line->node;
   if (ending == Ending::kReset) ++counters.agent_resets;
-  loop_->Bury(std::move(line->connection));
-  lines_.Erase(handle);
-  Peer& peer = peers_[node];
-  if (peer.way == handle) peer.way = 0;
+  Remove(handle);
+  Peer* peer = &peers_[node];
   std::vector<TaskId> open;
-  for (const auto& [id, on] : peer.open) {
-    if (on == handle) open.push_back(id);
+  for (const auto& [id, sent] : peer->open) {
+    if (sent.line == handle) open.push_back(id);
   }
   if (ending == Ending::kReset || !open.empty()) {
     Log("agent %u: connection %s, %zu set-ups open on it, %zu tasks stand", node,
-        ending == Ending::kReset ? "reset" : "closed", open.size(), peer.standing.size());
+        ending == Ending::kReset ? "reset" : "closed", open.size(), peer->standing.size());
   }
-  for (const TaskId id : open) peer.open.erase(id);
+  for (const TaskId id : open) peer->open.erase(id);
   for (const TaskId id : open) {
     ++counters.attempts_reset;
     events_->OnEnd(node, id, {Outcome::kAborted, Outcome::kAborted, Reason::kUntold, {}});
   }
-  Peer& after = peers_[node];
-  if ((Needed(after) || !after.tests.empty()) && after.way == 0) Dial(node, &after);
+  peer = &peers_[node];
+  bool homeless = false;  // tests and cuts that were sent on it
+  for (Testing& test : peer->tests) {
+    if (test.line == handle) test.line = 0, homeless = true;
+  }
+  for (auto& [id, sent_on] : peer->cuts) {
+    if (sent_on == handle) sent_on = 0, homeless = true;
+  }
+  // A reset may be the sign of a process that died: only another dial tells.
+  const bool look = ending == Ending::kReset && Needed(*peer);
+  if ((look || homeless || (Needed(*peer) && peer->lines.empty())) && Dialling(*peer) == nullptr) {
+    if (Dial(node, peer) == nullptr) Hopeless(node);
+  }
 }
 
 // --- Receiving ---------------------------------------------------------------------------------------------
+// False where it is none that an agent sends: noise.
 bool Pool::Take(NodeId node, Connection& connection, const Message& m) {
   Peer& peer = peers_[node];
+  const bool ends = m.type == Type::kAnswer || m.type == Type::kRelease;
+  if (m.type == Type::kAnswer && m.Get(Code::kDescription).empty()) return false;
+  if (m.type == Type::kRelease && m.CauseOr(-1) < 0) return false;
+  if (const auto it = peer.open.find(m.task); ends && it != peer.open.end()) {
+    // Guards against a second copy of what ended an earlier attempt here: a set-up that has not left yet, or
+    // that left by another connection, is not what it answers.
+    if (it->second.turn == loop_->turn() || it->second.line != connection.tag) {
+      ++counters.agent_stray;
+      return true;
+    }
+    if (Line* line = lines_.Get(connection.tag)) --line->open;
+    peer.open.erase(it);
+    if (m.type == Type::kRelease) ++counters.agent_refusals;
+  } else if (m.type == Type::kRelease) {
+    ++counters.agent_releases;
+  }
   switch (m.type) {
     case Type::kAnswer:
-      peer.open.erase(m.task);
       events_->OnAnswer(node, m.task, m.Get(Code::kDescription));
       return true;
     case Type::kRelease:
-      TakeRelease(node, &peer, connection, m);
+      TakeRelease(node, m);
       return true;
     case Type::kNote:
       TakeNote(node, m);
       return true;
     case Type::kTestResult:
-      TakeTestResult(node, &peer, m);
-      return true;
-    default:  // free, or of no meaning here
+      TakeTestResult(node, m);
       return true;
+    case Type::kProgress:
+    case Type::kReleaseHeard:
+    case Type::kTest:
+      return true;  // free, or of no meaning here
+    default:
+      return false;
   }
 }
 
-void Pool::TakeRelease(NodeId node, Peer* peer, Connection&, const Message& m) {
-  ++(peer->open.erase(m.task) > 0 ? counters.agent_refusals : counters.agent_releases);
+void Pool::TakeRelease(NodeId node, const Message& m) {
   const int cause = m.CauseOr(static_cast<int>(Cause::kReset));
   events_->OnEnd(node, m.task,
                  {BeforeAnswer(cause), AfterAnswer(cause), ReadReason(m.Get(Code::kNote)),
@@ -373,8 +560,9 @@
   }
 }
 
-void Pool::TakeTestResult(NodeId node, Peer* peer, const Message& m) {
-  if (std::ranges::find(peer->tests, m.task, &Testing::id) == peer->tests.end()) return;
+void Pool::TakeTestResult(NodeId node, const Message& m) {
+  const Peer& peer = peers_[node];
+  if (std::ranges::find(peer.tests, m.task, &Testing::id) == peer.tests.end()) return;
   ++counters.probe_answers;
   const bool passed = m.CauseOr(0) == static_cast<int>(Cause::kTestPassed);
   EndTest(node, m.task, passed ? Outcome::kOk : Outcome::kError, ReadReport(m.Get(Code::kReport)));
--- a/src/agents/pool.h
+++ b/src/agents/pool.h
@@ -25,9 +25,12 @@
 
 class Pool final : public Agents, public Connection::Handler {
  public:
-  Pool(Loop* loop, PoolTimes times, std::uint64_t seed, AgentEvents* events);
+  Pool(Loop* loop, PoolTimes times, int sockets, std::uint64_t seed, AgentEvents* events);
 
   void SetTimes(PoolTimes times) { times_ = times; }
+  std::size_t size() const { return peers_.size(); }
+  std::size_t lines() const { return lines_.size(); }
+  std::size_t open() const;  // set-ups sent and not answered
 
   void Know(const ListedNode& node) override;
   void Offer(NodeId node, TaskId id, const Passage& passage, Time until) override;
@@ -47,43 +50,62 @@
     TaskId id;
     Time asked;
     Handle timer;
+    Handle line;  // where it was sent, 0: not yet
+  };
+  struct Line {
+    std::unique_ptr<Connection> connection;
+    NodeId node = 0;
+    Time dialled = 0, heard = 0;
+    Handle timer = 0;              // of the dial; then of a message that is not whole
+    bool doubted = false;          // something went unanswered on it, and nothing was heard since
+    std::size_t open = 0;          // set-ups sent on it and not answered
+    std::vector<Waiting> waiting;  // until it is up
+  };
+  struct Sent {
+    Handle line;
+    std::uint64_t turn;  // of the loop: the set-up left at its end
   };
   struct Peer {
     sockaddr_in address{};
     bool known = false, gone = false;
-    Handle way = 0;  // the connection that is written to
-    Handle dialing = 0, dial_timer = 0, redial = 0;
-    std::vector<Waiting> waiting;
-    std::unordered_map<TaskId, Handle> open;    // set-ups sent and not answered, and where
-    std::unordered_set<TaskId> standing, cuts;  // tasks there; those it is still to be told to cut
+    std::vector<Handle> lines;  // up, or being dialled
+    Handle redial = 0;
+    std::vector<Waiting> hopeless;  // nobody to dial; they end in the next turn
+    std::unordered_map<TaskId, Sent> open;
+    std::unordered_set<TaskId> standing;
+    std::unordered_map<TaskId, Handle>
+        cuts;  // tasks that it was told to cut, and where; 0: it is still to be
     std::vector<Testing> tests;
-    Time heard = 0;
-  };
-  struct Line {
-    std::unique_ptr<Connection> connection;
-    NodeId node = 0;
   };
 
   void OnUp(Connection& connection) override;
   std::size_t OnData(Connection& connection, std::string_view data) override;
   void OnEnd(Connection& connection, Ending ending) override;
   bool Take(NodeId node, Connection& connection, const proto::Message& message);
-  void TakeRelease(NodeId node, Peer* peer, Connection& connection, const proto::Message& message);
+  void TakeRelease(NodeId node, const proto::Message& message);
   void TakeNote(NodeId node, const proto::Message& message);
-  void TakeTestResult(NodeId node, Peer* peer, const proto::Message& message);
+  void TakeTestResult(NodeId node, const proto::Message& message);
 
-  Connection* Way(Peer* peer);
-  void Dial(NodeId node, Peer* peer);
-  void DialFailed(NodeId node, Ending ending);
+  Line* Best(const Peer& peer);
+  Line* Dialling(const Peer& peer);
+  Line* Dial(NodeId node, Peer* peer);
+  void DialFailed(Handle handle, Ending ending);
+  void Hopeless(NodeId node);
   void RedialLater(NodeId node, Peer* peer);
   bool Needed(const Peer& peer) const { return !peer.standing.empty() || !peer.cuts.empty(); }
-  void SendSetUp(Peer* peer, Connection* way, const Waiting& waiting);
-  void SendTest(Peer* peer, Connection* way, TaskId id);
+  void KeepWay(NodeId node, Peer* peer);
+  void SendSetUp(Peer* peer, Line* line, const Waiting& waiting);
+  void SendTest(Testing* test, Line* line);
+  void SendCut(TaskId id, Handle* sent_on, Line* line);
   void EndTest(NodeId node, TaskId id, passbridge::Outcome outcome, passbridge::Report report);
-  void Doubt(NodeId node, Peer* peer, Time since);
+  void Doubt(NodeId node, Handle line, Time since);
+  void WatchAge(Handle handle);
+  void Remove(Handle handle);
+  void ForgetGone();
 
   Loop* loop_;
   PoolTimes times_;
+  int sockets_;
   AgentEvents* events_;
   TaskId next_test_;
   std::unordered_map<NodeId, Peer> peers_;
--- a/src/bulletin/reader.h
+++ b/src/bulletin/reader.h
@@ -25,6 +25,8 @@
   // configuration knows beyond that is told at once.
   void MoveTo(const sockaddr_in& address, const nlohmann::json& known);
 
+  std::size_t size() const { return roster_.size(); }
+
   void Subscribe(bool active) override;
   void Fetch() override;
 
--- a/src/bulletin/roster.cpp
+++ b/src/bulletin/roster.cpp
@@ -66,6 +66,7 @@
     node.entry.state = NodeState::kGone;
     change->nodes.push_back(node);
   }
+  std::erase_if(nodes_, [](const auto& node) { return node.second.entry.state == NodeState::kGone; });
   last_ = number;
   version_ = change->version;
   return true;
--- a/src/bulletin/roster.h
+++ b/src/bulletin/roster.h
@@ -24,6 +24,7 @@
   bool Apply(const nlohmann::json& event, Change* change);
   Change All() const;
   std::int64_t last() const { return last_; }
+  std::size_t size() const { return nodes_.size(); }
 
  private:
   ListedNode Read(const nlohmann::json& target) const;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -20,7 +20,7 @@
   passbridge::Settings settings;
   std::vector<std::string> zones, kinds;  // by their numbers
   Time dial_timeout = 250 * kMs, keepalive = 15 * kSecond;
-  int sockets = 1024;  // descriptors that the process may hold
+  int sockets = 1024;    // descriptors that the process may hold
   nlohmann::json known;  // the bulletin's events so far
 };
 
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -216,7 +216,10 @@
     }
     if (listed.gone) {
       loop_->After(kGonePatience, [this, id = node.entry.node] {
-        if (listed_[id].gone) LoseTasks(id, kForever);
+        const auto it = listed_.find(id);
+        if (it == listed_.end() || !it->second.gone) return;
+        LoseTasks(id, kForever);
+        listed_.erase(id);
       });
     }
   }
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -19,6 +19,8 @@
   void Connect(Owners* owners, Agents* agents, Directory* directory);
 
   std::size_t owed() const { return owed_; }  // requests without a final answer
+  std::size_t nodes() const { return listed_.size(); }
+  std::size_t module_size() const { return module_.size(); }
   std::size_t standing() const { return requests_.size() - owed_; }
 
   bool OnSetUp(SetUp set_up) override;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,9 +1,7 @@
-// Every decision of passbridge. The interface, types only, is include/passbridge/scheduler.h.
-//
-// A task's way: TaskArrived -> Place: Choose filters the nodes and binds by least C/W -> Offer -> Placed,
-// or AttemptEnded -> tried elsewhere where its effect allows it. What fits nowhere is held and tried again
-// as room appears (PlaceHeld), and whatever is still owed shortly before its deadline is answered by
-// AnswerDue. docs/design.md tells what is from the paper and when each exception acts.
+// Every decision of passbridge. The interface, types only, is include/passbridge/scheduler.h. A task's way:
+// TaskArrived -> Place: Choose filters the nodes and binds by least C/W -> Offer -> Placed, or AttemptEnded
+// -> tried elsewhere where its effect allows it. What fits nowhere is held and tried again as room appears
+// (PlaceHeld); what is still owed shortly before its deadline is answered by AnswerDue.
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -21,15 +19,14 @@
 namespace passbridge {
 namespace {
 
-constexpr Time kMs = 1'000'000;
-constexpr Time kSecond = 1000 * kMs;
+constexpr Time kMs = 1'000'000, kSecond = 1000 * kMs;
 
 // --- Tuned values: unit and reason ----------------------------------------------------------------------
 constexpr double kRhoMemory = 0.5;  // the paper leaves the factors open but for their sum: both count alike
 constexpr double kRhoCores = 1 - kRhoMemory;
 constexpr double kNearTie = 0.08;  // share of the least score within which scores are near-ties in any case
-// Binds of other schedulers stay unseen for kUnseen seconds, and each takes kSteep off W. Their rate is that
-// of own arrivals, counted over kRateOver, kRateAtFirst of them taken for granted. kMostLevel: no limit.
+// Binds of others stay unseen for kUnseen seconds, and each takes kSteep off W. Their rate is that of own
+// arrivals, counted over kRateOver, kRateAtFirst of them taken for granted. kMostLevel: no limit.
 constexpr double kUnseen = 6;
 constexpr double kSteep = 0.35;
 constexpr double kRateOver = 5 * kSecond;
@@ -263,9 +260,8 @@
 
   // --- Filters ------------------------------------------------------------------------------------------
   // Rule 4: a cold node gets no more than this scheduler's part of the sends it always survives; where that
-  // is less than one, groups of half as many schedulers take turns by the common clock, one send each, so
-  // that no window meets more than two. One just restarted does not know what it sent, and waits a window or
-  // turn.
+  // is less than one, groups of half as many take turns by the common clock, one send each, so that no window
+  // meets more than two. One just restarted does not know what it sent, and waits a window or turn.
   bool ColdAllows(Node* n) const {
     if (!Cold(*n)) return true;
     const Time window = static_cast<Time>(kFallMargin * static_cast<double>(settings.fall));
@@ -299,11 +295,13 @@
   }
   // Rule 2: a keyed task that may have run goes only where its repeats are discarded, and in time.
   bool EffectAllows(const Node& n, const Request& r) const {
-    if (!r.may_have_run) return true;
+    if (!r.may_have_run || ClassOf(r.task).effect == Effect::kSafe) return true;
+    return !Stuck(r) && SamePlace(ClassOf(r.task).group, nodes.at(r.first_node).entry, n.entry);
+  }
+  bool Stuck(const Request& r) const {  // no node may have it any more
     const ClassSettings& c = ClassOf(r.task);
-    if (c.effect == Effect::kSafe) return true;
-    if (c.effect == Effect::kUnsafe || now - r.first_sent >= c.key_window) return false;
-    return SamePlace(c.group, nodes.at(r.first_node).entry, n.entry);
+    return r.may_have_run && c.effect != Effect::kSafe &&
+           (c.effect == Effect::kUnsafe || now - r.first_sent >= c.key_window);
   }
   bool Fits(const Node& n, const Request& r) const {
     if (!n.heard) return true;
@@ -344,8 +342,7 @@
                      (Memory(n) * kMemoryMost - used.memory - taken.memory) / shape.memory});
   }
   // Exception for large tasks, which levelling leaves without a home: the node with the most room for a
-  // class's largest (seen, or guessed) takes smaller ones only where that room stays, or where nothing else
-  // fits.
+  // class's largest takes smaller ones only where that room stays, or where nothing else fits.
   bool TakesHome(const Node& n, const Task& t) const {
     return !Large(t) && std::ranges::any_of(seen, [&](const Seen& s) {
       return s.home == n.entry.node && s.largest.cores > 0 && RoomFor(n, s.largest, {t.cores, t.memory}) < 1;
@@ -388,6 +385,10 @@
     return ColdAllows(n) && SpreadAllows(*n, r.task) && EffectAllows(*n, r) && Fits(*n, r);
   }
 
+  bool HasProgram(const OnNode& on) const {
+    return on.out > 0 || (on.ended > 0 && now - on.ended < kProgramKept);
+  }
+
   // --- The ordinary path: least C over W ----------------------------------------------------------------
   Candidate Score(const Node& n, const Task& task) const {
     const Room asked = Asked(n);
@@ -395,8 +396,7 @@
     bool program = false;
     if (it != services.end()) {
       const auto on = it->second.find(n.entry.node);
-      program = on != it->second.end() &&
-                (on->second.out > 0 || (on->second.ended > 0 && now - on->second.ended < kProgramKept));
+      program = on != it->second.end() && HasProgram(on->second);
     }
     const double bind = task.cores * (program ? 1 : kSetupTasks);
     const double c = (asked.cores + bind) / settings.mean_cores;
@@ -459,9 +459,8 @@
     }
     return Pick(scores, r.task.service);
   }
-  // Guards against a rush of all at the little room that one late view shows: where the tasks that wait,
-  // taken as many at each scheduler as here, are more than the room and what comes free within a view's age,
-  // each is offered by chance, about as many as there is room. Hurts where only this one has tasks waiting.
+  // Guards against a rush of all at the little room that one late view shows: where more tasks wait, at each
+  // scheduler as many as here, than find room within a view's age, each is offered by chance.
   bool InTurn(const Request& r, double room) {
     const double waiting = static_cast<double>(held.size()) * (settings.scheduler_count - 1);
     room += ends.PerSecond(now) * settings.scheduler_count * kViewAge / kSecond;
@@ -471,8 +470,7 @@
   }
   // Near-ties are the nodes that the binds of others, not yet in the view, can be expected to level: poured
   // onto the least scores they raise them to one level. Each is taken by a draw weighted by what it takes up
-  // to there; the draw is a hash of service and node, so that all schedulers draw alike and a service's
-  // program is set up on few nodes. With one scheduler no others are expected, and the least is picked.
+  // to there: a hash of service and node, alike at all, so that a service's program is set up on few nodes.
   NodeId Pick(std::vector<Candidate> scores, std::uint64_t service) const {
     std::sort(scores.begin(), scores.end(), [](const Candidate& a, const Candidate& b) {
       return std::tuple(a.c * b.w, a.node) < std::tuple(b.c * a.w, b.node);
@@ -519,10 +517,7 @@
   }
   // Offers the task where it fits, holds it where it fits nowhere, answers where nothing more can come.
   void Place(Request* r) {
-    const ClassSettings& c = ClassOf(r->task);
-    const bool stuck = r->may_have_run && c.effect != Effect::kSafe &&
-                       (c.effect == Effect::kUnsafe || now - r->first_sent >= c.key_window);
-    if (stuck || r->attempts >= settings.max_tries || now >= AnswerBy(*r)) {
+    if (Stuck(*r) || r->attempts >= settings.max_tries || now >= AnswerBy(*r)) {
       Answer(r);
       return;
     }
@@ -576,8 +571,7 @@
   }
 
   // --- Health -------------------------------------------------------------------------------------------
-  // Guards against nodes that do not answer, whatever the cause: they are set aside, longer each time, and
-  // come back by a probe, or with the next task where probes are not allowed.
+  // Guards against nodes that do not answer: set aside, longer each time, until a probe or task succeeds.
   void Strike(Node* n) {
     if (n->strikes > 0 && n->aside_until > now) return;
     if (n->strikes == 0) Say("node " + std::to_string(n->entry.node) + " does not answer, set aside");
@@ -589,8 +583,7 @@
   void TryAside() {
     for (auto& [id, n] : nodes) {
       if (n.strikes == 0 || n.aside_until > now || !n.listed || n.entry.state != NodeState::kReady) continue;
-      if (settings.probing) AskNode(&n);
-      if (!settings.probing) n.strikes = 0;
+      settings.probing ? AskNode(&n) : void(n.strikes = 0);
     }
   }
   void AskNode(Node* n) {
@@ -618,8 +611,7 @@
       return;
     }
     if (e.kind != RosterKind::kCached) {
-      subscribed = subscribed || asked;
-      asked = false;
+      subscribed |= std::exchange(asked, false);
       ask_pause = kAskFirst;
     }
     heard_at = now;
@@ -644,6 +636,17 @@
     for (auto& [id, n] : nodes) {
       Leave(&n, [this](const OwnChange& c) { return c.at + 2 * kLagSteps * kLagStep < heard_at; });
     }
+    Forget();
+  }
+  // Guards against tables that only grow: nodes come and go, and so do services.
+  void Forget() {
+    std::set<NodeId> named;
+    for (const auto& [id, r] : requests) named.insert({r.node, r.first_node});
+    std::erase_if(nodes, [&](const auto& n) { return !n.second.listed && !named.contains(n.first); });
+    for (auto& [service, on] : services) {
+      std::erase_if(on, [&](const auto& o) { return !HasProgram(o.second) || !nodes.contains(o.first); });
+    }
+    std::erase_if(services, [](const auto& service) { return service.second.empty(); });
   }
 
   // --- Events -------------------------------------------------------------------------------------------
@@ -721,8 +724,7 @@
       case Outcome::kRefused:
         n->strikes = 0;
         if (e.reason == Reason::kUntold) {
-          // Guards against limits that the node has for some only: a refusal for no told reason counts for
-          // the class and tenant it met. Hurts where the reason concerned all: each finds out alone.
+          // Guards against limits for some: a refusal for no told reason counts for its class and tenant.
           n->turned_away[{r->task.class_index, r->task.tenant}] = now + kTurnedAwayRest;
           break;
         }
@@ -786,8 +788,7 @@
       Strike(&it->second);
     }
   }
-  // Guards against what bookings cannot show: tasks of other schedulers that use more than they asked, slow
-  // cores, a node busy with starts. Hurts where a report is old: a node just emptied still counts as heavy.
+  // Guards against what bookings cannot show: tasks of others that use more than asked, slow cores, starts.
   void Weigh(Node* n, const Report& report) {
     const Room booked = Booked(*n);
     const auto learn = [](double seen, double expected, double* weigh) {
@@ -809,7 +810,7 @@
     if (!settings.probing || now < probe_at) return;
     probe_at = now + kProbeEvery * settings.scheduler_count;
     Wake(probe_at);
-    // By the common clock, so that the schedulers look at the same node at about the same time.
+    // By the common clock: the schedulers look at the same node at about the same time.
     const Time turn = now / (kProbeEvery * std::min(settings.scheduler_count, kProbersAtOnce));
     auto it = std::next(nodes.begin(), nodes.empty() ? 0 : turn % nodes.size());
     for (std::size_t i = 0; i < nodes.size(); ++i, ++it) {
@@ -850,6 +851,7 @@
   state_->random.seed(seed);
 }
 Scheduler::~Scheduler() = default;
+std::size_t Scheduler::size() const { return state_->nodes.size() + state_->services.size(); }
 Scheduler::Scheduler(Scheduler&&) noexcept = default;
 Scheduler& Scheduler::operator=(Scheduler&&) noexcept = default;
 
@@ -857,11 +859,10 @@
   State& s = *state_;
   s.out.clear();
   s.now = now;
-  if (!s.begun) {
+  if (!std::exchange(s.begun, true)) {
     s.started = s.arrivals.at = s.ends.at = now;
     s.probe_at = now + s.settings.ordinal * kProbeEvery;  // in turn
   }
-  s.begun = true;
   std::visit([&s](const auto& e) { s.On(e); }, event);
   s.AnswerDue();
   s.Ask();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -24,7 +24,7 @@
   const Config config = ConfigFromEnvironment();
   Loop loop;
   Engine engine(&loop, config.settings, config.seed);
-  Pool pool(&loop, {config.dial_timeout, config.keepalive}, config.seed, &engine);
+  Pool pool(&loop, {config.dial_timeout, config.keepalive}, config.sockets, config.seed, &engine);
   BulletinReader bulletin(&loop, config, &engine);
   Front front(&loop, config, &engine);
   engine.Connect(&front, &pool, &bulletin);
@@ -63,10 +63,20 @@
   loop.OnSignal(SIGHUP, reload);
   loop.OnSignal(SIGTERM, drain);
   loop.OnSignal(SIGINT, drain);
-  loop.OnSignal(SIGUSR1, [] { counters.Print(stderr); });
+  const auto print = [&] {
+    counters.Print(stderr);
+    const std::pair<const char*, std::size_t> sizes[] = {
+        {"owed", engine.owed()},        {"standing", engine.standing()},  {"owners", front.size()},
+        {"listed", engine.nodes()},     {"module", engine.module_size()}, {"roster", bulletin.size()},
+        {"agents", pool.size()},        {"agent_lines", pool.lines()},    {"agent_open", pool.open()},
+        {"deadlines", loop.deadlines()}};
+    for (const auto& [name, size] : sizes) std::fprintf(stderr, "size %s %zu\n", name, size);
+    std::fflush(stderr);
+  };
+  loop.OnSignal(SIGUSR1, print);
   loop.Run();
   loop.FlushAll();
-  counters.Print(stderr);
+  print();
   return 0;
 }
 
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -55,6 +55,7 @@
   X(attempts_no_connection) \
   X(tasks_lost) \
   X(malformed) \
+  X(unfinished) \
   X(stuck_writes) \
   X(reloads)
 // clang-format on
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -72,6 +72,7 @@
 void Loop::BeforeSleep() {
   wheel_.Advance(Now());
   FlushAll();
+  ++turn_;
   buried_.clear();
   ev_timer_stop(loop_, &timer_);
   const Time next = wheel_.Next();
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -37,6 +37,8 @@
   // What is read goes here first, one buffer for all connections: only an unfinished message is kept apart.
   char* scratch() { return scratch_.data(); }
   static constexpr std::size_t kScratch = 32 * 1024;
+  std::uint64_t turn() const { return turn_; }  // what was queued in one leaves at its end
+  std::size_t deadlines() const { return wheel_.size(); }
   void Run();
   void Stop();
   void FlushAll();
@@ -52,6 +54,7 @@
   ev_prepare prepare_;
   ev_timer timer_;
   Time now_ = 0;
+  std::uint64_t turn_ = 1;
   Wheel wheel_;
   std::vector<Connection*> to_flush_;
   std::vector<std::unique_ptr<Connection>> buried_;
--- a/src/net/wheel.h
+++ b/src/net/wheel.h
@@ -28,6 +28,7 @@
   void Advance(Time now);
   // When Advance is needed next; -1 where nothing hangs.
   Time Next() const;
+  std::size_t size() const { return deadlines_.size(); }
 
  private:
   static constexpr std::size_t kSlots = 16384;  // 16 s a turn; what is further off stays for another turn
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -130,6 +130,27 @@
   EXPECT_EQ(count[2], 10);
 }
 
+// Nodes that have gone and services that ended leave nothing behind, however long the day.
+TEST(Tables, AreEmptiedAsNodesAndServicesGo) {
+  Driver d(Basic());
+  d.Roster({Entry(1)});
+  const std::size_t at_first = d.scheduler.size();
+  for (NodeId id = 2; id < 40; ++id) {
+    NodeEntry entry = Entry(id, 16 + id);
+    d.Roster({entry}, RosterKind::kDelta);
+    const RequestId task = "t" + std::to_string(id);
+    const NodeId node = Only<Offer>(d.Arrive(task, 0, 1, 2, 100 + id)).at(0).node;
+    d.Send(Placed{task, 0, node, kMs});
+    entry.state = NodeState::kGone;
+    d.Roster({entry}, RosterKind::kDelta);
+    d.End(task, 0, node, Outcome::kAborted, true);
+    d.Wait(kSecond);
+  }
+  d.Wait(10 * kSecond);
+  d.Roster({Entry(1, 15)}, RosterKind::kDelta);
+  EXPECT_EQ(d.scheduler.size(), at_first);
+}
+
 TEST(Path, SameEventsGiveSameActions) {
   std::vector<NodeId> picks[2];
   for (auto& picked : picks) {
