Probe nodes three times as often, so that hung and crowded ones are found sooner

Each scheduler looked at one node in 0.9 s (kProbeEvery 300 ms times three), so that a node of ten was probed every 9 s, while a crowding program comes and goes every 1.2 to 4.9 s and a hang lasts 6 to 23 s.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -27,7 +27,7 @@
 constexpr double kNearTie = 0.08;  // share of the least score within which scores are near-ties in any case
 // Binds of others stay unseen for kUnseen seconds, and each takes kSteep off W. Their rate is that of own
 // arrivals, counted over kRateOver, kRateAtFirst of them taken for granted. kMostLevel: no limit.
-constexpr double kUnseen = 6;
+constexpr double kUnseen = 4;
 constexpr double kSteep = 0.35;
 constexpr double kRateOver = 5 * kSecond;
 constexpr double kRateAtFirst = 2;
@@ -51,9 +51,9 @@
 constexpr double kGuess = 0.35;  // of a node: size of a class that needs its kind, until one of it was seen
 // Sparse probes, so far apart over all schedulers, so many of these at one node: a report of use corrects
 // what is booked there, by this share of the difference, within bounds, and not where too little is booked.
-constexpr Time kProbeEvery = 300 * kMs;
+constexpr Time kProbeEvery = 100 * kMs;
 constexpr int kProbersAtOnce = 10;
-constexpr double kWeighStep = 0.3;
+constexpr double kWeighStep = 0.5;
 constexpr double kWeighLeast = 0.8, kWeighMost = 3;
 constexpr double kWeighFrom = 0.1;
 // Use per unit asked until notes tell; a note moves it by this share. Memory grows for a while after a start.
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -304,6 +304,25 @@
   }
 }
 
+// A node that hangs is found by a probe, not by the tasks it swallows: each scheduler asks another node about
+// ten times a second over all of them.
+TEST(Health, ProbesGoRoundTheFleetQuickly) {
+  Settings s = Basic();
+  s.scheduler_count = 3;
+  Driver d(s);
+  std::vector<NodeEntry> fleet;
+  for (NodeId id = 1; id <= 10; ++id) fleet.push_back(Entry(id));
+  d.Roster(fleet);
+  std::set<NodeId> probed;
+  for (int i = 0; i < 600; ++i) {
+    for (const Probe& probe : Only<Probe>(d.Wait(10 * kMs))) {
+      probed.insert(probe.node);
+      d.Send(Probed{probe.node, Outcome::kOk, kMs, {}});
+    }
+  }
+  EXPECT_EQ(probed.size(), fleet.size());  // within 6 s
+}
+
 TEST(Health, ASilentNodeIsSetAsideAndProbed) {
   Driver d(Basic());
   const auto first = Only<Probe>(d.Roster({Entry(1), Entry(2, 6, 12)}));
