Send nothing on silent connections of a node that cannot be dialled

A set-up that waited for a dial which timed out after 250 ms then went on another connection of the same machine, on which nothing had been heard either (Pool::DialFailed marked those as in doubt only after a refusal, and after it had sent). Such an attempt may count as run, where the dial had proved that it had not. Now connections on which nothing was heard while a dial failed are in doubt before anything is sent; what waited is told as not sent, and the module places it elsewhere. A story with a port that neither accepts nor refuses fails without it.

--- a/src/agents/pool.cpp
+++ b/src/agents/pool.cpp
@@ -330,6 +330,15 @@
   Log("agent %u: dial %s, %zu set-ups and %zu tests waiting, %zu tasks stand", node,
       ending == Ending::kRefused ? "refused" : "failed", waiting.size(), peer->tests.size(),
       peer->standing.size());
+  // Guards against a machine that is cut off: connections on which nothing was heard while another could not
+  // be made are not to be trusted. Tells a death from that: only where a process was can a dial be refused,
+  // and then none of its other connections says anything.
+  bool dead = ending == Ending::kRefused;
+  for (const Handle each : peer->lines) {
+    Line* other = lines_.Get(each);
+    if (other->heard == 0) continue;
+    if (other->heard >= dialled || !std::exchange(other->doubted, true)) dead = false;
+  }
   std::vector<TaskId> unsent;
   for (const Waiting& w : waiting) {
     Line* other = Best(*peer);
@@ -339,15 +348,6 @@
       unsent.push_back(w.id);
     }
   }
-  // Tells a death from a machine that is cut off: only where a process was can a connection be refused, and
-  // then none that it had says anything.
-  bool dead = ending == Ending::kRefused;
-  for (const Handle each : peer->lines) {
-    Line* other = lines_.Get(each);
-    if (ending != Ending::kRefused || other->heard == 0) continue;
-    if (other->heard >= dialled) dead = false;
-    if (!std::exchange(other->doubted, true)) dead = false;
-  }
   for (const TaskId id : unsent) {
     ++counters.attempts_no_connection;
     events_->OnEnd(node, id, {Outcome::kNoConnection, Outcome::kAborted, Reason::kUntold, {}});
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -312,15 +312,16 @@
   Driver d(s);
   std::vector<NodeEntry> fleet;
   for (NodeId id = 1; id <= 10; ++id) fleet.push_back(Entry(id));
-  d.Roster(fleet);
   std::set<NodeId> probed;
-  for (int i = 0; i < 600; ++i) {
-    for (const Probe& probe : Only<Probe>(d.Wait(10 * kMs))) {
+  const auto answer = [&](const std::vector<Action>& actions) {
+    for (const Probe& probe : Only<Probe>(actions)) {
       probed.insert(probe.node);
       d.Send(Probed{probe.node, Outcome::kOk, kMs, {}});
     }
-  }
-  EXPECT_EQ(probed.size(), fleet.size());  // within 6 s
+  };
+  answer(d.Roster(fleet));
+  for (int i = 0; i < 400; ++i) answer(d.Wait(10 * kMs));
+  EXPECT_EQ(probed.size(), fleet.size());  // within 4 s
 }
 
 TEST(Health, ASilentNodeIsSetAsideAndProbed) {
--- a/tests/story.h
+++ b/tests/story.h
@@ -173,11 +173,22 @@
   }
   void Close() {
     if (socket_ >= 0) ::close(std::exchange(socket_, -1));
+    for (const int each : std::exchange(clogged_, {})) ::close(each);
+  }
+  // From now on a dial is neither accepted nor refused, as where a machine is cut off.
+  void Clog() {
+    REQUIRE(::listen(socket_, 0) == 0);
+    const sockaddr_in address = Loopback(number_);
+    for (int i = 0; i < 4; ++i) {
+      clogged_.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      ::connect(clogged_.back(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    }
   }
 
  private:
   int socket_;
   int number_ = 0;
+  std::vector<int> clogged_;
 };
 
 inline json Node(const std::string& uid, const std::string& endpoint, double free_cores = 10,
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -123,6 +123,20 @@
   CHECK(owner.Hear(Type::kAnswer, kept).description == "there");
 }
 
+TEST_CASE_FIXTURE(Site, "a dial that never comes up sends its set-up elsewhere, not on a silent connection") {
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "safe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  first.Clog();
+  Ask(&owner, kOther, "unsafe");
+  Wire next = second.Accept();
+  next.Hear(Type::kSetUp, kOther);
+  next.Answer(kOther, "there");
+  CHECK(owner.Hear(Type::kAnswer, kOther).description == "there");
+}
+
 TEST_CASE_FIXTURE(Site, "a spoilt answer ends its attempt at once and is nobody's answer") {
   Start();
   Wire owner = program->Owner();
