Make no room by closing a connection whose set-up has arrived

Checked: restarts ended long before; every other close in the front has no set-up open or is a bad client's. Front::Prune took the connection that had nothing open for longest, and closed it though its set-up lay unread in the socket; the close was then a reset. A story that stops the program, writes a set-up on such a connection and dials three more fails without the guard, three times of three. It also showed that a newcomer, who has said nothing yet, went before all that were idle. Now who has unread input stays, who came within 100 ms goes after the idle ones, and the end is one in order. The story on running out of descriptors is back: the limit it is told is not the one it has.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -23,6 +23,7 @@
 constexpr Time kFirstWord = 2 * kSecond;     // without anything that usual owners send
 constexpr Time kUnfinished = 1500 * kMs;     // of a message that is not whole
 constexpr Time kIdle = 6 * kSecond;          // owners close what carries no task after 4 s
+constexpr Time kFresh = 100 * kMs;           // its first message may be on its way
 constexpr Time kLinger = 400 * kMs;          // for the other side to read what was written last
 constexpr Time kMayBeClosing = 3 * kSecond;  // of idleness: no release goes there if another way is open
 constexpr Time kCrossing = 500 * kMs;        // a release unheard for so short may have met a close
@@ -74,25 +75,29 @@
 // Guards against connections by the hundred that say nothing, or ask once and stay: the descriptors that
 // agents and the bulletin need are never given to owners, who hold no more than a third of all by themselves.
 // The first to go is who leaves already, then who has said nothing for longest, then who has had nothing open
-// for longest, and last the newcomer.
+// for longest, then who has just come. Whose set-up has come and was not read yet does not go.
 void Front::Prune() {
+  const Time now = loop_->Now();
+  constexpr int kFreshOne = 3, kStays = 4;
+  const auto rank = [&](const Owner& owner) -> std::pair<int, Time> {
+    if (owner.leaving > 0) return {0, owner.leaving};
+    if (!owner.spoke) return {now - owner.since < kFresh ? kFreshOne : 1, owner.since};
+    return {owner.open.empty() ? 2 : kStays, owner.connection->last_traffic};
+  };
   Handle victim = 0, newest = 0;
-  std::pair<int, Time> least{3, 0};
+  std::pair<int, Time> least{kStays, 0};
   Time last = 0;
   owners_.ForEach([&](Handle handle, const Owner& owner) {
-    const bool left = owner.leaving > 0;
-    const std::pair<int, Time> rank{left                 ? 0
-                                    : !owner.spoke       ? 1
-                                    : owner.open.empty() ? 2
-                                                         : 3,
-                                    left           ? owner.leaving
-                                    : !owner.spoke ? owner.since
-                                                   : owner.connection->last_traffic};
-    if (rank < least) std::tie(least, victim) = std::tie(rank, handle);
     if (owner.since >= last) std::tie(last, newest) = std::tie(owner.since, handle);
+    const std::pair<int, Time> its = rank(owner);
+    if (its >= least || (its.first > 0 && owner.connection->Unread())) return;
+    least = its;
+    victim = handle;
   });
   ++counters.owner_pruned;
-  Remove(victim != 0 ? victim : newest);
+  if (victim == 0) victim = newest;
+  owners_.Get(victim)->connection->Finish();  // an end in order, not a reset
+  Remove(victim);
 }
 
 void Front::Sweep() {
@@ -104,7 +109,8 @@
       if (now - owner.leaving >= kLinger) left.push_back(handle);
     } else if ((unfinished > 0 && now - unfinished >= kUnfinished) ||
                (!owner.spoke && now - owner.since >= kFirstWord) ||
-               (owner.open.empty() && now - owner.connection->last_traffic >= kIdle)) {
+               (owner.open.empty() && now - owner.connection->last_traffic >= kIdle &&
+                !owner.connection->Unread())) {
       late.push_back(handle);
     }
   });
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -20,8 +20,8 @@
   Front(Loop* loop, const Config& config, OwnerEvents* events);
 
   sockaddr_in address() const { return listener_.address(); }
-  // How many descriptors the process may hold; owners get half of them.
-  void SetMost(int sockets) { most_ = static_cast<std::size_t>(std::max(sockets / 2, 1)); }
+  // How many descriptors the process may hold; owners get five eighths of them, agents most of the rest.
+  void SetMost(int sockets) { most_ = static_cast<std::size_t>(std::max(sockets * 5 / 8, 1)); }
   void Drain() { draining_ = true; }  // tests are no longer passed; all else goes on
   bool idle();                        // nothing is left to write
   void Finish();                      // closes its side of every connection
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -117,6 +118,11 @@
   Flush();
 }
 
+bool Connection::Unread() const {
+  int bytes = 0;
+  return open() && ::ioctl(socket_, FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
 void Connection::Watch() {
   const bool read = !finishing_ && out_.size() - written_ < kWriteBackedUp;
   const int events = (read ? EV_READ : 0) | (flushed() ? 0 : EV_WRITE);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -57,6 +57,7 @@
   // input, whose reset can destroy answers that were just written: Close() comes a while later.
   void Finish();
   void Close();
+  bool Unread() const;  // something has come that was not read yet
   bool finishing() const { return finishing_; }
 
   Handle tag = 0;             // for the owner of the connection
--- a/tests/story.h
+++ b/tests/story.h
@@ -221,8 +221,9 @@
 
 class Program {
  public:
-  // `limit`: descriptors it may hold, 0 for the usual.
-  Program(const json& nodes, const Port& bulletin, const json& settings = Settings(), rlim_t limit = 0) {
+  // `limit`: descriptors it may hold, 0 for the usual; `told`: as its configuration has it, 0 for the same.
+  Program(const json& nodes, const Port& bulletin, const json& settings = Settings(), rlim_t limit = 0,
+          rlim_t told = 0) {
     folder_ = std::filesystem::temp_directory_path() / "willowrail-story-XXXXXX";
     std::string name = folder_.string();
     REQUIRE(::mkdtemp(name.data()) != nullptr);
@@ -230,7 +231,10 @@
     config_ = {{"name", "n0"},
                {"listen", "127.0.0.1:0"},
                {"seed", "8c1f30d27a5be964"},
-               {"limits", {{"sockets", limit > 0 ? limit : 256}}},
+               {"limits",
+                {{"sockets", told > 0    ? told
+                             : limit > 0 ? limit
+                                         : 256}}},
                {"bulletin", bulletin.endpoint()},
                {"known", {{"no", 1}, {"items", {Event(1, nodes, true)}}}},
                {"settings", settings}};
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -13,9 +13,9 @@
   Port bulletin, first, second;
   std::optional<Program> program;
 
-  void Start(const json& settings = Settings(), rlim_t limit = 0) {
+  void Start(const json& settings = Settings(), rlim_t limit = 0, rlim_t told = 0) {
     program.emplace(json{Node("s-00000001", first.endpoint(), 10), Node("s-00000002", second.endpoint(), 5)},
-                    bulletin, settings, limit);
+                    bulletin, settings, limit, told);
   }
 };
 
@@ -469,6 +469,34 @@
   CHECK(owner.Hear(Type::kAnswer, kTask).description == "there");
 }
 
+TEST_CASE_FIXTURE(Site, "a connection whose set-up has arrived is not the one that makes room for others") {
+  Start(Settings(), 40);
+  Wire owner = program->Owner();
+  owner.NothingElse();
+  std::vector<Wire> others;
+  for (int i = 0; i < 24; ++i) {  // all that owners may hold; the first has been idle for longest
+    others.push_back(program->Owner());
+    others.back().NothingElse();
+  }
+  program->Signal(SIGSTOP);
+  Ask(&owner, kTask, "safe");
+  for (int i = 0; i < 3; ++i) others.push_back(program->Owner());
+  program->Signal(SIGCONT);
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Answer(kTask, "there");
+  CHECK(owner.Hear(Type::kAnswer, kTask).description == "there");
+}
+
+TEST_CASE_FIXTURE(Site, "running out of descriptors delays owners and loses none") {
+  Start(Settings(), 24, 1024);
+  std::vector<Wire> owners;
+  for (int i = 0; i < 40; ++i) owners.push_back(program->Owner());
+  program->Logged("accept: ");
+  for (int i = 0; i < 30; ++i) owners[static_cast<std::size_t>(i)].Close();
+  owners.back().NothingElse();
+}
+
 TEST_CASE_FIXTURE(Site, "after SIGTERM what still arrives is served, all is settled, and the exit is 0") {
   Start();
   Wire owner = program->Owner();
