--- a/include/passbridge/scheduler.h
+++ b/include/passbridge/scheduler.h
@@ -90,6 +90,7 @@
   double cold_from = 1;  // pace of a node that has just come up
   Time fall = 0;
   Time drain_grace = 0;
+  Time most_away = 0;  // the longest stay away that owners follow; 0: no advice is passed on
   double over_share_worth = 1;
   double fleet_price = 0;
 };
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -509,10 +509,10 @@
   }
   // Rule 1: the one final answer where no task was placed.
   void Answer(Request* r) {
-    if (!r->owed) return;
-    r->owed = false;
+    if (!std::exchange(r->owed, false)) return;
     held.erase(r->task.id);
-    out.push_back(MayRefuse(*r) ? Action(Refuse{r->task.id, 0}) : Action(Fail{r->task.id}));
+    const Time away = std::min(kViewAge, settings.most_away);  // by then the list shows what is free now
+    out.push_back(MayRefuse(*r) ? Action(Refuse{r->task.id, away}) : Action(Fail{r->task.id}));
     if (!r->out) requests.erase(r->task.id);
   }
   // Offers the task where it fits, holds it where it fits nowhere, answers where nothing more can come.
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -167,6 +167,9 @@
   pairs.Choice("Discovery", {{"automatic", 0}, {"subscribe", 1}}, &ask);
   s.ask_discovery = ask == 1;
   pairs.Bool("Allowed.Probing", &s.probing);
+  bool advice = false;
+  pairs.Bool("Allowed.RetryAfter", &advice);
+  if (advice) pairs.When("Allowed.MaxRetryAfter", &s.most_away);
   pairs.Bool("Allowed.Cancelling", &s.cancelling);
   pairs.Bool("FamilyInfo.SaysUse", &s.says_use);
   pairs.Bool("FamilyInfo.SaysPressure", &s.says_pressure);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -175,6 +175,20 @@
   EXPECT_TRUE(Only<Refuse>(d.Wait(kSecond)).empty());
 }
 
+TEST(RuleOne, ARefusalSaysWhenToComeBackWhereTheSettingsAllowIt) {
+  for (const Time most : {Time{0}, kSecond, 10 * kSecond}) {
+    Settings s = Basic();
+    s.most_away = most;
+    Driver d(s);
+    d.Roster({Entry(1, 0, 0)});
+    d.Arrive("a");
+    const std::vector<Refuse> refused = Only<Refuse>(d.Wait(8 * kSecond));
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused[0].stay_away > 0, most > 0);
+    EXPECT_LE(refused[0].stay_away, most);
+  }
+}
+
 TEST(RuleOne, HeldTaskIsPlacedAsRoomAppears) {
   Driver d(Basic());
   d.Roster({Entry(1, 0, 0)});
