--- a/src/agents/pool.cpp
+++ b/src/agents/pool.cpp
@@ -155,6 +155,8 @@
 void Pool::Offer(NodeId node, TaskId id, const Passage& passage, Time until) {
   Peer& peer = peers_[node];
   const Waiting waiting{id, passage, until};
+  counters.bytes_held +=
+      passage.class_name.size() + passage.name.size() + passage.key.size() + passage.description.size();
   const std::size_t room = static_cast<std::size_t>(std::max(sockets_ * 3 / 8 - kSpare, 1));
   const std::size_t most = std::clamp<std::size_t>(room / peers_.size(), 1, kMostLines);
   Line* best = Best(peer);
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -267,6 +267,9 @@
   s->task.repeat = m.Has(Code::kRetry);
   s->passage = {std::string(m.Get(Code::kClass)), std::string(m.Get(Code::kName)),
                 std::string(m.Get(Code::kKey)), std::string(m.Get(Code::kDescription))};
+  const Passage& kept = s->passage;
+  counters.bytes_held +=
+      kept.class_name.size() + kept.name.size() + kept.key.size() + kept.description.size();
   return true;
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,8 +11,14 @@
 #include "net/counters.h"
 #include "net/log.h"
 #include "net/loop.h"
+#include "net/sys.h"
+#include "proto/message.h"
 
 namespace willowrail {
+
+// Defined by the counting build (bench/counted.cpp) alone: prints what it counted.
+__attribute__((weak)) void (*counting_build)(std::FILE* to) = nullptr;
+
 namespace {
 
 // After SIGTERM new connections come for up to 0.4 s and requests for 0.2 s more; all of them are served.
@@ -65,6 +71,9 @@
   loop.OnSignal(SIGINT, drain);
   const auto print = [&] {
     counters.Print(stderr);
+    sys::calls.Print(stderr);
+    std::fprintf(stderr, "counter bytes_written %llu\n", static_cast<unsigned long long>(proto::bytes_written));
+    if (counting_build != nullptr) counting_build(stderr);
     const std::pair<const char*, std::size_t> sizes[] = {
         {"owed", engine.owed()},        {"standing", engine.standing()},  {"owners", front.size()},
         {"listed", engine.nodes()},     {"module", engine.module_size()}, {"roster", bulletin.size()},
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -3,9 +3,6 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -14,6 +11,7 @@
 #include <utility>
 
 #include "net/counters.h"
+#include "net/sys.h"
 
 namespace willowrail {
 namespace {
@@ -55,12 +53,12 @@
 
 Connection::Connection(Loop* loop, const sockaddr_in& to, Handler* handler)
     : loop_(loop), handler_(handler), dialing_(true) {
-  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const int socket = sys::Socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (socket < 0) {
     dial_error_ = errno;
     Start(-1, 0);
   } else {
-    const int failed = ::connect(socket, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+    const int failed = sys::Connect(socket, reinterpret_cast<const sockaddr*>(&to), sizeof to);
     if (failed != 0 && errno != EINPROGRESS) dial_error_ = errno;
     Start(socket, EV_WRITE);
   }
@@ -75,8 +73,7 @@
       socket_, events);
   io_.data = this;
   if (socket_ < 0) return;
-  const int on = 1;
-  setsockopt(socket_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  sys::SetOption(socket_, IPPROTO_TCP, TCP_NODELAY, 1);
   ev_io_start(loop_->raw(), &io_);
 }
 
@@ -91,7 +88,7 @@
   flush_marked_ = false;
   if (!up()) return;
   while (written_ < out_.size()) {
-    const ssize_t sent = ::send(socket_, out_.data() + written_, out_.size() - written_, MSG_NOSIGNAL);
+    const ssize_t sent = sys::Send(socket_, out_.data() + written_, out_.size() - written_);
     if (sent < 0 && errno == EINTR) continue;
     if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
       End(Ending::kReset);
@@ -103,7 +100,7 @@
   if (flushed()) {
     LetGo(&out_);
     written_ = 0;
-    if (finishing_ && !std::exchange(shut_, true)) ::shutdown(socket_, SHUT_WR);
+    if (finishing_ && !std::exchange(shut_, true)) sys::Shutdown(socket_, SHUT_WR);
   } else if (out_.size() - written_ > kWriteMost) {  // the other side reads nothing: bounded memory
     ++counters.stuck_writes;
     End(Ending::kStuck);
@@ -120,7 +117,7 @@
 
 bool Connection::Unread() const {
   int bytes = 0;
-  return open() && ::ioctl(socket_, FIONREAD, &bytes) == 0 && bytes > 0;
+  return open() && sys::Unread(socket_, &bytes) == 0 && bytes > 0;
 }
 
 void Connection::Watch() {
@@ -136,7 +133,7 @@
   loop_->Forget(this);
   ev_clear_pending(loop_->raw(), &io_);
   ev_io_stop(loop_->raw(), &io_);
-  if (socket_ >= 0) ::close(socket_);
+  if (socket_ >= 0) sys::Close(socket_);
   socket_ = -1;
   dialing_ = false;
 }
@@ -148,8 +145,7 @@
 
 void Connection::OnEvent(int events) {
   if (dialing_) {
-    socklen_t size = sizeof dial_error_;
-    if (dial_error_ == 0) getsockopt(socket_, SOL_SOCKET, SO_ERROR, &dial_error_, &size);
+    if (dial_error_ == 0) sys::GetOption(socket_, SOL_SOCKET, SO_ERROR, &dial_error_);
     if (dial_error_ != 0) {
       End(dial_error_ == ECONNREFUSED ? Ending::kRefused : Ending::kReset);
       return;
@@ -172,7 +168,8 @@
     return;
   }
   std::memcpy(buffer, in_.data(), kept);
-  const ssize_t got = ::recv(socket_, buffer + kept, Loop::kScratch / 2, 0);
+  counters.bytes_kept += kept;
+  const ssize_t got = sys::Recv(socket_, buffer + kept, Loop::kScratch / 2);
   if (got < 0 && (errno == EINTR || errno == EAGAIN || errno == EWOULDBLOCK)) return;
   if (got <= 0) {
     End(got == 0 ? Ending::kClosed : Ending::kReset);
@@ -188,6 +185,7 @@
   } else {
     if (taken > 0 || kept == 0) unfinished_since = last_traffic;
     in_.assign(data.substr(taken));
+    counters.bytes_kept += in_.size();
   }
 }
 
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -57,6 +57,8 @@
   X(malformed) \
   X(unfinished) \
   X(stuck_writes) \
+  X(bytes_kept) \
+  X(bytes_held) \
   X(reloads)
 // clang-format on
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -10,6 +10,7 @@
 
 #include "net/counters.h"
 #include "net/log.h"
+#include "net/sys.h"
 
 namespace willowrail {
 namespace {
@@ -22,13 +23,12 @@
 
 Listener::Listener(Loop* loop, const sockaddr_in& address, std::function<void(int)> accepted)
     : loop_(loop), accepted_(std::move(accepted)) {
-  socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  if (socket_ >= 0) setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  socket_ = sys::Socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (socket_ >= 0) sys::SetOption(socket_, SOL_SOCKET, SO_REUSEADDR, 1);
   if (socket_ < 0 || ::bind(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
       ::listen(socket_, kBacklog) != 0) {
     const std::string problem = std::strerror(errno);
-    if (socket_ >= 0) ::close(socket_);
+    if (socket_ >= 0) sys::Close(socket_);
     throw std::runtime_error("cannot listen: " + problem);
   }
   ev_io_init(
@@ -41,7 +41,7 @@
 Listener::~Listener() {
   loop_->TakeDown(retry_);
   ev_io_stop(loop_->raw(), &io_);
-  ::close(socket_);
+  sys::Close(socket_);
 }
 
 sockaddr_in Listener::address() const {
@@ -53,7 +53,7 @@
 
 void Listener::Accept() {
   for (int i = 0; i < kAcceptsPerTurn; ++i) {
-    const int accepted = ::accept4(socket_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    const int accepted = sys::Accept(socket_, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (accepted >= 0) {
       accepted_(accepted);
       continue;
--- a/src/proto/message.cpp
+++ b/src/proto/message.cpp
@@ -65,6 +65,7 @@
   PutBigEndian(out_, static_cast<std::uint8_t>(code), 1);
   PutBigEndian(out_, value.size(), 2);
   out_->append(value);
+  bytes_written += value.size();
   return *this;
 }
 
--- a/src/proto/message.h
+++ b/src/proto/message.h
@@ -90,6 +90,9 @@
   }
 }
 
+// Bytes of values that writers have copied into write queues so far.
+inline std::uint64_t bytes_written = 0;
+
 // Appends one message to a write queue; whole once the writer is gone.
 class Writer {
  public:
