--- a/include/passbridge/scheduler.h
+++ b/include/passbridge/scheduler.h
@@ -246,6 +246,8 @@
   const std::vector<Action>& Handle(const Event& event, Time now);
   // How many nodes and services it holds something of.
   std::size_t size() const;
+  // Nodes and entries of the index looked at since the start: what its picks cost, without a clock.
+  std::uint64_t looked() const;
   // Whether anything of the request is remembered; once it is not, its number may be given to another.
   bool Holds(RequestId id) const;
 
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -93,7 +93,7 @@
   bool indexed = false;
   Time index_at = 0;
   Room mean{1, 1}, mean_indexed{1, 1};  // use per asked unit, over all own tasks
-  std::uint64_t mean_state = 1, turn = 0;
+  std::uint64_t mean_state = 1, turn = 0, looked = 0;
   willowrail::NamedTable<RequestId, Request> requests;
   willowrail::NumberSet<RequestId> held;
   willowrail::NumberMap<std::uint64_t, std::vector<OnNode>> services;
@@ -111,7 +111,7 @@
   Pace arrivals{kRateAtFirst, kRateOver}, ends{kRateAtFirst, kRateOver};
   double mean_answer = 0;  // nanoseconds
   int said = 0;
-  bool begun = false, subscribed = false, asked = false;
+  bool begun = false, subscribed = false, asked = false, probed = false;
   Time asked_at = 0, ask_at = 0, heard_at = 0, ask_pause = kAskFirst;
   Lag lag;  // of the list
 
@@ -240,10 +240,9 @@
   }
   bool Fits(const Node& n, const Request& r) const {
     if (!n.heard) return true;
-    const Room& asked = n.asked;
     const Task& t = r.task;
-    if (asked.cores + t.cores > Cores(n) * settings.admit_cores) return false;
-    if (asked.memory + t.memory > Memory(n) * settings.admit_memory) return false;
+    if (n.asked.cores + t.cores > Cores(n) * settings.admit_cores) return false;
+    if (n.asked.memory + t.memory > Memory(n) * settings.admit_memory) return false;
     if (t.cores >= n.refused.cores || t.memory >= n.refused.memory) return false;
     const ClassSettings& c = ClassOf(t);
     return UseFits(n, r, std::max(kBusyMost, c.calm + kFadeTaken * c.fade), kMemoryBrink);
@@ -266,9 +265,8 @@
   }
   // How many tasks of this shape the node has room for, by what is asked; RoomFor: and by what is used.
   double RoomAsked(const Node& n, const Room& shape, const Room& taken) const {
-    const Room& asked = n.asked;
-    return std::min((Cores(n) * settings.admit_cores - asked.cores - taken.cores) / shape.cores,
-                    (Memory(n) * settings.admit_memory - asked.memory - taken.memory) / shape.memory);
+    return std::min((Cores(n) * settings.admit_cores - n.asked.cores - taken.cores) / shape.cores,
+                    (Memory(n) * settings.admit_memory - n.asked.memory - taken.memory) / shape.memory);
   }
   double RoomFor(const Node& n, const Room& shape, const Room& taken) const {
     const Room& used = Used(n);
@@ -309,7 +307,8 @@
   bool Healthy(const Node& n) const {
     return n.listed && n.entry.state == NodeState::kReady && n.strikes == 0;
   }
-  bool Allowed(Node* n, const Request& r) const {
+  bool Allowed(Node* n, const Request& r) {
+    ++looked;
     const ClassSettings& c = ClassOf(r.task);
     if (!n->listed || n->entry.state != NodeState::kReady) return false;  // rule 3
     if (c.kind >= 0 && c.kind != n->entry.kind) return false;
@@ -428,8 +427,7 @@
     };
     for (const Around& a : around) consider(table.Find(a.entry->node));
     for (std::size_t kind = 0; kind < index.size(); ++kind) {
-      const int needed = ClassOf(r.task).kind;
-      if (needed >= 0 && needed != static_cast<int>(kind)) continue;
+      if (const int k = ClassOf(r.task).kind; k >= 0 && k != static_cast<int>(kind)) continue;
       const auto visit = [&](std::uint32_t slot) {
         Node* n = table.at_slot(slot);
         return n->turn == turn || consider(n);
@@ -504,8 +502,7 @@
     std::sort(scores.begin(), scores.end(), [](const Candidate& a, const Candidate& b) {
       return std::tuple(a.c * b.w, a.node) < std::tuple(b.c * a.w, b.node);
     });
-    const double others = Others();
-    double level = 0, c = others, w = -kSteep * others;
+    double level = 0, c = Others(), w = -kSteep * c;
     for (const Candidate& s : scores) {
       if (w > 0 && c / w <= s.c / s.w) break;
       c += s.c;
@@ -617,18 +614,18 @@
   }
   // One timer stands for all: the first moment at which something is due though nothing happens.
   void WakeNext() {
-    Time next = std::numeric_limits<Time>::max();
-    if (!due.empty()) next = due.top().first;
+    constexpr Time kNever = std::numeric_limits<Time>::max();
+    Time next = due.empty() ? kNever : due.top().first;
     if (!held.empty()) next = std::min(next, next_wake);
-    if (settings.probing && !nodes.empty()) next = std::min(next, probe_at);
+    if (probed) next = std::min(next, probe_at);
     for (const Node* n : struck) {
       if (n->aside_until > now) next = std::min(next, n->aside_until);
     }
     if (settings.ask_discovery) {
       if (!subscribed && !asked) next = std::min(next, ask_at);
-      next = std::min(next, std::max(heard_at, asked_at) + Patience() + kMs);
+      if (const Time again = asked_at + Patience() + kMs; again > now) next = std::min(next, again);
     }
-    if (next == std::numeric_limits<Time>::max() || (armed > now && armed <= next)) return;
+    if (next == kNever || (armed > now && armed <= next)) return;
     armed = std::max(next, now + 1);
     out.push_back(SetTimer{0, armed});
   }
@@ -911,6 +908,7 @@
   void ProbeNext() {
     if (!settings.probing || now < probe_at) return;
     probe_at = now + kProbeEvery * settings.scheduler_count;
+    probed = true;  // the first turn waits for the first event; those after it have a timer
     // By the common clock: the schedulers look at the same node at about the same time.
     const Time turn = now / (kProbeEvery * std::min(settings.scheduler_count, kProbersAtOnce));
     for (std::size_t i = 0; i < nodes.size(); ++i) {
@@ -937,6 +935,11 @@
 }
 Scheduler::~Scheduler() = default;
 std::size_t Scheduler::size() const { return state_->nodes.size() + state_->services.size(); }
+std::uint64_t Scheduler::looked() const {
+  std::uint64_t all = state_->looked;
+  for (const RatioIndex& each : state_->index) all += each.looked();
+  return all;
+}
 bool Scheduler::Holds(RequestId id) const { return state_->requests.Find(id) != nullptr; }
 Scheduler::Scheduler(Scheduler&&) noexcept = default;
 Scheduler& Scheduler::operator=(Scheduler&&) noexcept = default;
--- a/tests/story.h
+++ b/tests/story.h
@@ -100,6 +100,12 @@
     pollfd wait{socket_, POLLIN, 0};
     return ::poll(&wait, 1, ms) > 0;
   }
+  // A message is here already, or bytes of one come in time.
+  bool Speaks(int ms) const {
+    proto::Message m;
+    std::size_t size = 0;
+    return proto::Decode(in_, &m, &size) == proto::Step::kMessage || Readable(ms);
+  }
   // More bytes; empty where the other side has closed.
   std::string Bytes() {
     REQUIRE_MESSAGE(Readable(kLimitMs), "nothing came");
@@ -167,6 +173,11 @@
     pollfd wait{socket_, POLLIN, 0};
     return ::poll(&wait, 1, ms) > 0;
   }
+  // What is accepted from now on has little room for what was not read yet.
+  void Narrow() {
+    const int room = 4096;
+    REQUIRE(::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &room, sizeof room) == 0);
+  }
   Wire Accept() {
     REQUIRE_MESSAGE(Dialled(kLimitMs), "nobody dialled");
     return Wire(::accept(socket_, nullptr, nullptr));
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -3,6 +3,10 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "story.h"
 
+#include <map>
+#include <set>
+#include <vector>
+
 namespace willowrail::story {
 namespace {
 
@@ -518,6 +522,105 @@
   CHECK(agent.Closed());  // and was told of no cut: tasks that stand live on
 }
 
+TEST_CASE_FIXTURE(
+    Site, "an answer larger than what is read at once comes to its owner whole, and so do those behind it") {
+  Start();
+  Wire owner = program->Owner();
+  constexpr TaskId kMany = 6;
+  for (TaskId id = 1; id <= kMany; ++id) Ask(&owner, id, "unsafe");
+  // Set-ups go on up to four connections; each answer comes back on that of its own.
+  std::vector<Wire> lines;
+  std::map<TaskId, std::size_t> way;
+  while (way.size() < kMany) {
+    for (Port* port : {&first, &second}) {
+      if (port->Dialled()) lines.push_back(port->Accept());
+    }
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+      while (lines[i].Speaks(5)) way[lines[i].Hear().task] = i;
+    }
+  }
+  std::map<std::size_t, std::string> together;
+  const auto words = [](TaskId id) { return std::string(16'000, static_cast<char>('a' + id)); };
+  for (const auto& [id, line] : way) {
+    proto::Writer(&together[line], Type::kAnswer, id).Add(Code::kDescription, words(id));
+  }
+  for (const auto& [line, bytes] : together) {
+    for (std::size_t at = 0; at < bytes.size(); at += 9'973) lines[line].Raw(bytes.substr(at, 9'973));
+  }
+  for (TaskId i = 0; i < kMany; ++i) {
+    const Heard heard = owner.Hear();
+    CHECK(heard.type == Type::kAnswer);
+    CHECK((heard.description == words(heard.task)));  // no need to see it
+    way.erase(heard.task);
+  }
+  CHECK(way.empty());
+}
+
+TEST_CASE_FIXTURE(Site, "a node that reads slowly gets each set-up whole, however its writes break off") {
+  first.Narrow();
+  Start();
+  Wire owner = program->Owner();
+  constexpr TaskId kMany = 60;
+  const auto words = [](TaskId id) { return std::string(12'000, static_cast<char>('A' + id % 26)); };
+  for (TaskId id = 1; id <= kMany; ++id) {
+    Asked a{"unsafe", "25000", "shop one", "0b5e"};
+    a.figures = "cores:0.1;memory:0.1;service:0b";
+    a.description = words(id);
+    AskAs(&owner, id, a);
+  }
+  std::vector<Wire> lines;
+  std::set<TaskId> seen;
+  while (seen.size() < kMany) {
+    for (Port* port : {&first, &second}) {
+      if (port->Dialled()) lines.push_back(port->Accept());
+    }
+    for (Wire& line : lines) {
+      if (!line.Speaks(2)) continue;
+      const Heard heard = line.Hear();  // in pieces, as they come
+      CHECK(heard.type == Type::kSetUp);
+      CHECK((heard.description == words(heard.task)));
+      CHECK(seen.insert(heard.task).second);
+    }
+  }
+}
+
+TEST_CASE_FIXTURE(Site, "once the load has gone every table is as at the start") {
+  Start();
+  program->Counted("roster", 2, "size ");
+  {
+    Wire owner = program->Owner();
+    std::vector<Wire> lines;
+    std::map<TaskId, std::size_t> way;
+    constexpr TaskId kMany = 200;
+    for (TaskId id = 1; id <= kMany; ++id) {
+      Asked a{"unsafe", "25000", "shop one", "0b5e"};
+      a.figures = "cores:0.01;memory:0.01;service:" + std::to_string(id % 9 + 1);
+      AskAs(&owner, id, a);
+    }
+    std::size_t ended = 0;
+    while (ended < kMany) {
+      for (Port* port : {&first, &second}) {
+        if (port->Dialled()) lines.push_back(port->Accept());
+      }
+      for (Wire& line : lines) {
+        while (line.Speaks(1)) {
+          const Heard heard = line.Hear();
+          if (heard.type != Type::kSetUp) continue;
+          line.Answer(heard.task, "up");
+          line.Say(Type::kRelease, heard.task, Cause::kEnded);
+          ++ended;
+        }
+      }
+    }
+    for (TaskId i = 0; i < 2 * kMany; ++i) owner.Hear();
+    program->Counted("owed", 0, "size ");
+  }
+  for (const char* table : {"standing", "owners", "agent_open", "blocks"})
+    program->Counted(table, 0, "size ");
+  program->Counted("listed", 2, "size ");
+  program->Counted("roster", 2, "size ");
+}
+
 TEST_CASE_FIXTURE(Site, "counters are printed on request") {
   Start();
   program->Owner().NothingElse();
