Give the program a command line: check, fmt, explain, version beside serve

Need: operators must be able to check and write texts of the language without starting a cluster manager. Change: src/cli on CLI11 (Debian's libcli11-dev, headers only); serving moves to src/roles/serve.cpp and is still what no command means, without anything of the command line being set up. check reads a configuration with its includes, fmt writes the one form to standard output, in place by rename, or only says what is not in it, explain tells of a code.

--- /dev/null
+++ b/src/cli/cli.cpp
@@ -0,0 +1,224 @@
+#include "cli/cli.h"
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <exception>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lang/evaluator.h"
+#include "lang/formatter.h"
+#include "lang/parser.h"
+#include "lang/resolver.h"
+#include "roles/serve.h"
+
+namespace willowrail::cli {
+namespace {
+
+namespace fs = std::filesystem;
+
+enum Exit { kDone = 0, kErrors = 1, kUsage = 2 };
+
+class DiskFiles final : public lang::Files {
+ public:
+  std::optional<std::string> Read(const std::string& path) override {
+    std::error_code error;
+    if (!fs::is_regular_file(path, error)) return std::nullopt;
+    std::ifstream file(path, std::ios::binary);
+    if (!file) return std::nullopt;
+    return std::string(std::istreambuf_iterator<char>(file), {});
+  }
+  // A * in the last part of the path alone: folders are named.
+  std::vector<std::string> Glob(const std::string& pattern) override {
+    const fs::path whole(pattern);
+    const std::string last = whole.filename().string();
+    std::vector<std::string> found;
+    std::error_code error;
+    const fs::path folder = whole.has_parent_path() ? whole.parent_path() : fs::path(".");
+    for (const auto& entry : fs::directory_iterator(folder, error)) {
+      const std::string name = entry.path().filename().string();
+      if (Fits(last, name)) found.push_back(whole.has_parent_path() ? (folder / name).string() : name);
+    }
+    return found;
+  }
+
+ private:
+  static bool Fits(std::string_view pattern, std::string_view name) {
+    std::size_t star = std::string_view::npos, mark = 0, p = 0, n = 0;
+    while (n < name.size()) {
+      if (p < pattern.size() && pattern[p] == '*') {
+        star = p++;
+        mark = n;
+      } else if (p < pattern.size() && pattern[p] == name[n]) {
+        ++p;
+        ++n;
+      } else if (star != std::string_view::npos) {
+        p = star + 1;
+        n = ++mark;
+      } else {
+        return false;
+      }
+    }
+    return pattern.find_first_not_of('*', p) == std::string_view::npos;
+  }
+};
+
+// To standard error; true where there was any.
+bool Tell(const lang::Diagnostics& diagnostics, const std::vector<lang::Source>& sources) {
+  for (const lang::Diagnostic& d : diagnostics.all()) std::fputs(lang::Render(d, sources).c_str(), stderr);
+  if (diagnostics.dropped() > 0) std::fprintf(stderr, "and %zu errors more\n", diagnostics.dropped());
+  if (diagnostics.any()) std::fprintf(stderr, "`willowrail explain CODE` says more of a code\n");
+  return diagnostics.any();
+}
+
+void Evaluate(const std::vector<lang::Statement>& statements, lang::Evaluator* evaluator,
+              std::size_t* settings) {
+  for (const lang::Statement& s : statements) {
+    if (s.form == lang::Statement::Form::kSetting) {
+      evaluator->Of(s.value);
+      ++*settings;
+    }
+    Evaluate(s.body, evaluator, settings);
+  }
+}
+
+int Check(const std::string& path) {
+  DiskFiles files;
+  lang::Diagnostics diagnostics;
+  const lang::Program program = lang::Load(path, &files, &diagnostics);
+  lang::Evaluator evaluator(program, &diagnostics);
+  std::size_t settings = 0;
+  Evaluate(program.settings, &evaluator, &settings);
+  Evaluate(program.blocks, &evaluator, &settings);
+  for (const auto& [name, constant] : program.constants) evaluator.Of(constant.value);
+  if (Tell(diagnostics, program.sources)) return kErrors;
+  std::printf("%s: good; %zu files, %zu blocks, %zu settings, %zu constants\n", path.c_str(),
+              program.sources.size(), program.blocks.size(), settings, program.constants.size());
+  return kDone;
+}
+
+// Written beside the file and moved over it: whoever reads it meanwhile has the old text or the new one,
+// whole.
+bool Write(const std::string& path, const std::string& text) {
+  const std::string beside = path + ".new";
+  {
+    std::ofstream file(beside, std::ios::binary | std::ios::trunc);
+    file << text;
+    file.flush();
+    if (!file) {
+      std::error_code ignored;
+      fs::remove(beside, ignored);
+      return false;
+    }
+  }
+  std::error_code error;
+  const fs::perms mode = fs::status(path, error).permissions();
+  if (!error) fs::permissions(beside, mode, error);
+  fs::rename(beside, path, error);
+  return !error;
+}
+
+int FormatFiles(const std::vector<std::string>& paths, bool write, bool check) {
+  int exit = kDone;
+  for (const std::string& path : paths) {
+    DiskFiles files;
+    const std::optional<std::string> text = files.Read(path);
+    if (!text) {
+      std::fprintf(stderr, "%s: cannot be read\n", path.c_str());
+      return kUsage;
+    }
+    std::vector<lang::Source> sources;
+    sources.emplace_back(path, *text);
+    lang::Diagnostics diagnostics;
+    const lang::Document document = lang::Parse(sources[0], 0, &diagnostics);
+    if (Tell(diagnostics, sources)) {
+      exit = kErrors;
+      continue;  // a text with errors is nobody's to write
+    }
+    const std::string written = lang::Format(document);
+    if (check) {
+      if (written == *text) continue;
+      std::printf("%s: not in its written form\n", path.c_str());
+      exit = kErrors;
+    } else if (!write) {
+      std::fputs(written.c_str(), stdout);
+    } else if (written != *text && !Write(path, written)) {
+      std::fprintf(stderr, "%s: cannot be written\n", path.c_str());
+      return kUsage;
+    }
+  }
+  return exit;
+}
+
+int Explain(const std::string& code) {
+  if (code.empty()) {
+    for (const lang::Explanation& e : lang::Explanations()) {
+      std::printf("%.*s  %.*s\n", static_cast<int>(e.code.size()), e.code.data(),
+                  static_cast<int>(e.title.size()), e.title.data());
+    }
+    return kDone;
+  }
+  const lang::Explanation* e = lang::Explain(code);
+  if (e == nullptr) {
+    std::fprintf(stderr, "no error has the code %s; `willowrail explain` lists them\n", code.c_str());
+    return kUsage;
+  }
+  std::printf("%s: %s\n\n%s\n", code.c_str(), std::string(e->title).c_str(), std::string(e->text).c_str());
+  return kDone;
+}
+
+int ServeOrSay() {
+  try {
+    return Serve();
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "willowrail: %s\n", error.what());
+    return 1;
+  }
+}
+
+}  // namespace
+
+int Run(int count, char** words) {
+  if (count <= 1) return ServeOrSay();  // what `run` calls: nothing is set up for words that are not there
+  CLI::App app(
+      "willowrail, a cluster manager.\n\n"
+      "  willowrail                      serves, by the configuration that ROUTER_CONFIG names\n"
+      "  willowrail check site.willow    reads a configuration and all that it includes\n"
+      "  willowrail fmt -w *.willow      writes texts in their one form\n"
+      "  willowrail explain L006         says what a code means\n\n"
+      "Exit status: 0 done, 1 errors in the texts, 2 a wrong call or a file that cannot be read or written.");
+  app.name("willowrail");
+  app.require_subcommand(1);
+  int exit = kDone;
+  std::string path, code;
+  std::vector<std::string> paths;
+  bool write = false, check_only = false;
+  app.add_subcommand("serve", "serve, as without a command")->callback([&] { exit = ServeOrSay(); });
+  CLI::App* check = app.add_subcommand("check", "read a configuration, and say all that is wrong with it");
+  check->add_option("FILE", path, "its first file")->required();
+  check->callback([&] { exit = Check(path); });
+  CLI::App* fmt = app.add_subcommand("fmt", "write texts in their one form, to standard output");
+  fmt->add_option("FILE", paths, "texts")->required();
+  fmt->add_flag("-w,--write", write, "in place")
+      ->excludes(
+          fmt->add_flag("--check", check_only, "write nothing; exit 1 and name those that are not in it"));
+  fmt->callback([&] { exit = FormatFiles(paths, write, check_only); });
+  CLI::App* explain = app.add_subcommand("explain", "say what a code of an error means, or list all");
+  explain->add_option("CODE", code, "as L006");
+  explain->callback([&] { exit = Explain(code); });
+  app.add_subcommand("version", "print the version")->callback([] {
+    std::puts("willowrail " WILLOWRAIL_VERSION);
+  });
+  try {
+    app.parse(count, words);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kDone : kUsage;  // help is no error
+  }
+  return exit;
+}
+
+}  // namespace willowrail::cli
