Make a list of the least anew also where it once held every slot

A list made while there were at most 32 slots was marked whole and never made anew, so that it took in every slot that came later and each question walked all of them. Change: the bound on its length holds for it too; a test that fails without this. At 64 nodes and below nothing changes, the index is not asked there.

--- a/src/structures/ratio_index.h
+++ b/src/structures/ratio_index.h
@@ -62,7 +62,7 @@
         ++below;
         if (Has(g, least)) heap_.push_back({(g.load + static_cast<float>(extra)) / g.weight, 0, slot});
       }
-      if (fresh == 1 || list.whole || (below >= kEnough && list.slots.size() <= 2 * kTop)) break;
+      if (fresh == 1 || ((list.whole || below >= kEnough) && list.slots.size() <= 2 * kTop)) break;
       Fill(&list);
       heap_.clear();
     }
--- a/tests/structures_test.cpp
+++ b/tests/structures_test.cpp
@@ -166,6 +166,19 @@
   });
 }
 
+// Guards against a list that was made while there were few, and then took in every slot that came.
+TEST_CASE("a list of the least made among few stays short when there are many") {
+  RatioIndex index;
+  std::mt19937 random(6);
+  for (std::uint32_t slot = 0; slot < 10; ++slot) index.Set(slot, Random(&random));
+  index.Least(15, {}, [](std::uint32_t) { return false; });
+  for (std::uint32_t slot = 10; slot < 4000; ++slot) index.Set(slot, Random(&random));
+  index.Least(15, {}, [](std::uint32_t) { return false; });  // makes it anew
+  const std::uint64_t before = index.looked();
+  index.Least(15, {}, [](std::uint32_t) { return false; });
+  CHECK(index.looked() - before < 100);
+}
+
 TEST_CASE("blocks are shared, used again, and kept within a bound") {
   BlockPool pool;
   {
