Ask leaving nodes that fall silent, and owe their tasks' ends without waiting for the list

Six of sixteen cluster managers saw their connection to it reset at 16.89 s, dialled, were refused and released what stood there; n0's connection saw no reset. The list named it gone at 17.6 s, but n0's feed had fallen silent ("bulletin: silent" at 19.665, 2 s after its last word), so it heard at 19.97 s, waited kGonePatience (engine.cpp, 1 s) for last words of a node silent for 8 s, and released at 20.98 s; 20.55 s was the limit. Ruled out: the owners' side. The release was written to a trusted way in the same millisecond as the task was finished and heard by the owner 1 ms later, in each lost call.

Change: src/life decides, without I/O, when a leaving node is to be asked, when it is taken for stopped and how long its last words may still come. What is taken for over and is heard of again is cut there. A gone node that was silent is waited for no more. A feed silent for 1.5 s counts as broken.

--- a/src/agents/pool.cpp
+++ b/src/agents/pool.cpp
@@ -23,6 +23,7 @@
 
 constexpr Time kRedial = 400 * kMs;
 constexpr Time kForget = kSecond;
+constexpr Time kLookAtLeaving = 100 * kMs;
 constexpr Time kUnfinished = 400 * kMs;    // of a message: its pieces follow at once, or never
 constexpr std::size_t kMostLines = 4;      // connections to one agent
 constexpr std::size_t kBesideDoubted = 2;  // more where those are in doubt
@@ -87,6 +88,7 @@
 Pool::Pool(Loop* loop, PoolTimes times, int sockets, std::uint64_t seed, AgentEvents* events)
     : loop_(loop), times_(times), sockets_(sockets), events_(events), next_test_(seed | 1) {
   ForgetGone();
+  LookAtLeaving();
 }
 
 std::size_t Pool::open() const {
@@ -101,6 +103,13 @@
   // Guards against addresses that are used again: nothing dials a node that has gone, since another may
   // answer there.
   peer.gone = node.entry.state == passbridge::NodeState::kGone;
+  const bool left = peer.life.leaving();
+  peer.life.Told(peer.gone                                              ? life::Listed::kGone
+                 : node.entry.state == passbridge::NodeState::kDraining ? life::Listed::kLeaving
+                                                                        : life::Listed::kServing,
+                 loop_->Now());
+  if (peer.life.leaving() && !left) leaving_.push_back(node.entry.node);
+  if (peer.gone) peer.disowned.clear();
   KeepWay(node.entry.node, &peer);
 }
 
@@ -253,18 +262,76 @@
 
 void Pool::Probe(NodeId node) {
   Peer& peer = peers_[node];
-  const TaskId id = next_test_ += 2;
-  const Handle timer =
-      loop_->After(2 * times_.dial, [this, node, id] { EndTest(node, id, Outcome::kTimedOut, {}); });
-  peer.tests.push_back({id, loop_->Now(), timer, 0});
+  Testing* test = StartTest(node, &peer, false);
   Line* best = Best(peer);
   if (best != nullptr && !best->doubted) {
-    SendTest(&peer.tests.back(), best);
+    SendTest(test, best);
   } else if (Dialling(peer) == nullptr && Dial(node, &peer) == nullptr) {
     loop_->After(0, [this, node] { Hopeless(node); });
   }
 }
 
+Pool::Testing* Pool::StartTest(NodeId node, Peer* peer, bool ours) {
+  const TaskId id = next_test_ += 2;
+  const Handle timer =
+      loop_->After(2 * times_.dial, [this, node, id] { EndTest(node, id, Outcome::kTimedOut, {}); });
+  return &peer->tests.emplace_back(Testing{id, loop_->Now(), timer, 0, ours});
+}
+
+void Pool::AskWhetherAlive(NodeId node, Peer* peer, Line* line) {
+  if (std::ranges::any_of(peer->tests, &Testing::ours)) return;
+  ++counters.life_questions;
+  peer->life.Asked(loop_->Now());
+  SendTest(StartTest(node, peer, true), line);
+}
+
+// Guards against a machine that was to leave and is switched off without a sign, while the list says so late:
+// where anything of ours stands it is asked until it is heard, gone, or silent for too long.
+void Pool::LookAtLeaving() {
+  const Time now = loop_->Now();
+  std::vector<NodeId> ask, stopped;
+  std::erase_if(leaving_, [&](NodeId node) {
+    const auto it = peers_.find(node);
+    if (it == peers_.end() || !it->second.life.leaving()) return true;
+    const Peer& peer = it->second;
+    if (peer.standing.empty()) return false;
+    if (peer.life.Stopped(now)) {
+      stopped.push_back(node);
+    } else if (peer.life.ShouldAsk(now)) {
+      ask.push_back(node);
+    }
+    return false;
+  });
+  for (const NodeId node : ask) {
+    Peer& peer = peers_[node];
+    Line* best = Best(peer);
+    if (best != nullptr && !best->doubted) {
+      AskWhetherAlive(node, &peer, best);
+    } else if (Dialling(peer) == nullptr) {
+      peer.life.Asked(now);
+      Dial(node, &peer);
+    }
+  }
+  for (const NodeId node : stopped) events_->OnStopped(node);
+  loop_->After(kLookAtLeaving, [this] { LookAtLeaving(); });
+}
+
+void Pool::Disown(NodeId node, TaskId id) { peers_[node].disowned.push_back(id); }
+
+Time Pool::WordsUntil(NodeId node) { return peers_[node].life.WordsUntil(loop_->Now()); }
+
+// Something came from the node. What was taken for over there while it was silent is cut now.
+void Pool::Heard(NodeId node, Peer* peer, Line* line) {
+  line->heard = loop_->Now();
+  peer->life.Heard(line->heard);
+  if (peer->disowned.empty()) return;
+  Log("agent %u: heard again, %zu tasks that were taken for over are cut", node, peer->disowned.size());
+  for (const TaskId id : std::exchange(peer->disowned, {})) {
+    ++counters.tasks_disowned_cut;
+    Writer(line->connection->out(), Type::kRelease, id).Add(Cause::kCancelled);
+  }
+}
+
 void Pool::SendTest(Testing* test, Line* line) {
   ++counters.probes_sent;
   test->line = line->connection->tag;
@@ -280,8 +347,10 @@
   loop_->TakeDown(test.timer);
   if (outcome == Outcome::kTimedOut) {
     Log("agent %u: a test went unanswered", node);
+    peer.life.Unanswered(test.asked);
     Doubt(node, test.line, test.asked);
   }
+  if (test.ours) return;
   events_->OnProbed(node, outcome, loop_->Now() - test.asked, report);
 }
 
@@ -328,6 +397,7 @@
   const std::vector<Waiting> waiting = std::move(line->waiting);
   Remove(handle);
   Peer* peer = &peers_[node];
+  if (ending != Ending::kRefused) peer->life.Unanswered(dialled);
   ++counters.agent_dials_failed;
   Log("agent %u: dial %s, %zu set-ups and %zu tests waiting, %zu tasks stand", node,
       ending == Ending::kRefused ? "refused" : "failed", waiting.size(), peer->tests.size(),
@@ -339,6 +409,13 @@
   for (const Handle each : peer->lines) {
     Line* other = lines_.Get(each);
     if (other->heard == 0) continue;
+    // Guards against taking a node for dead that is leaving and has closed its door: its old connections
+    // tell.
+    if (ending == Ending::kRefused && peer->life.leaving() && other->heard < dialled && !other->doubted) {
+      dead = false;
+      if (other->connection->up()) AskWhetherAlive(node, peer, other);
+      continue;
+    }
     if (other->heard >= dialled || !std::exchange(other->doubted, true)) dead = false;
   }
   std::vector<TaskId> unsent;
@@ -404,8 +481,8 @@
   Line* line = lines_.Get(connection.tag);
   if (line == nullptr) return;
   loop_->TakeDown(std::exchange(line->timer, 0));
-  line->heard = loop_->Now();
   Peer& peer = peers_[line->node];
+  Heard(line->node, &peer, line);
   for (const Waiting& w : std::exchange(line->waiting, {})) SendSetUp(&peer, line, w);
   for (Testing& test : peer.tests) {
     if (lines_.Get(test.line) == nullptr) SendTest(&test, line);
@@ -421,7 +498,7 @@
   Line* line = lines_.Get(handle);
   if (line == nullptr) return data.size();
   const NodeId node = line->node;
-  line->heard = loop_->Now();
+  Heard(node, &peers_[node], line);
   line->doubted = false;
   bool malformed = false, noise = false;
   const std::size_t taken = proto::DecodeAll(data, &malformed, [&](const Message& message) {
--- a/src/agents/pool.h
+++ b/src/agents/pool.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "engine/ports.h"
+#include "life/node_life.h"
 #include "net/connection.h"
 #include "proto/message.h"
 #include "structures/hash.h"
@@ -39,6 +40,8 @@
   void Stands(NodeId node, TaskId id, bool stands) override;
   void Probe(NodeId node) override;
   void CloseIdle(NodeId node) override;
+  void Disown(NodeId node, TaskId id) override;
+  Time WordsUntil(NodeId node) override;
 
  private:
   struct Waiting {  // a set-up that waits for its connection
@@ -51,6 +54,7 @@
     Time asked;
     Handle timer;
     Handle line;  // where it was sent, 0: not yet
+    bool ours;    // asked to learn whether the node lives: the module did not ask
   };
   struct Line {
     std::unique_ptr<Connection> connection;
@@ -76,6 +80,8 @@
     std::unordered_map<TaskId, Handle>
         cuts;  // tasks that it was told to cut, and where; 0: it is still to be
     std::vector<Testing> tests;
+    life::NodeLife life;
+    std::vector<TaskId> disowned;  // to be cut if it is heard again
   };
 
   void OnUp(Connection& connection) override;
@@ -97,11 +103,15 @@
   void SendSetUp(Peer* peer, Line* line, const Waiting& waiting);
   void SendTest(Testing* test, Line* line);
   void SendCut(TaskId id, Handle* sent_on, Line* line);
+  Testing* StartTest(NodeId node, Peer* peer, bool ours);
   void EndTest(NodeId node, TaskId id, passbridge::Outcome outcome, passbridge::Report report);
   void Doubt(NodeId node, Handle line, Time since);
   void WatchAge(Handle handle);
   void Remove(Handle handle);
   void ForgetGone();
+  void Heard(NodeId node, Peer* peer, Line* line);
+  void AskWhetherAlive(NodeId node, Peer* peer, Line* line);
+  void LookAtLeaving();
 
   Loop* loop_;
   PoolTimes times_;
@@ -110,6 +120,7 @@
   TaskId next_test_;
   std::unordered_map<NodeId, Peer> peers_;
   SlotTable<Line> lines_;
+  std::vector<NodeId> leaving_;  // listed so, and not looked at for the last time
 };
 
 }  // namespace willowrail
--- a/src/bulletin/reader.cpp
+++ b/src/bulletin/reader.cpp
@@ -11,8 +11,9 @@
 using nlohmann::json;
 using passbridge::RosterKind;
 
-// A comment comes every second, so this much silence is a break, also where the connection stays up.
-constexpr Time kSilence = 2 * kSecond;
+// A comment comes every second, so this much silence is a break, also where the connection stays up. Each
+// moment more is one for which drains, deaths and starts are not known; a call too many costs one connection.
+constexpr Time kSilence = 1500 * kMs;
 constexpr Time kUnaskedPause = 300 * kMs;
 constexpr std::size_t kMostLine = 4 * 1024 * 1024;
 
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -19,8 +19,6 @@
 constexpr Time kForever = std::numeric_limits<Time>::max();
 // An agent that was told to cut a task and says nothing is not waited for any longer.
 constexpr Time kCutPatience = 8 * kSecond;
-// The list knows that a node is gone later than its last releases were sent; this is for those on their way.
-constexpr Time kGonePatience = kSecond;
 
 }  // namespace
 
@@ -185,6 +183,12 @@
 
 void Engine::OnDead(NodeId node) { LoseTasks(node, kForever); }
 
+void Engine::OnStopped(NodeId node) {
+  const std::size_t lost = LoseTasks(node, kForever, true);
+  counters.tasks_presumed_over += lost;
+  Log("agent %u: was to leave and is silent, taken for stopped, %zu tasks over", node, lost);
+}
+
 // --- What the directory says -----------------------------------------------------------------------------
 void Engine::OnRoster(passbridge::RosterKind kind, std::int64_t version,
                       const std::vector<ListedNode>& nodes) {
@@ -199,7 +203,9 @@
       LoseTasks(node.entry.node, node.entry.came_up);
     }
     if (listed.gone) {
-      loop_->After(kGonePatience, [this, id = node.entry.node] {
+      // The list may know that a node is gone before its last releases are read. Guards against waiting for
+      // words from a node that fell silent long ago: its ends are owed since then.
+      loop_->At(agents_->WordsUntil(node.entry.node), [this, id = node.entry.node] {
         const auto it = listed_.find(id);
         if (it == listed_.end() || !it->second.gone) return;
         LoseTasks(id, kForever);
@@ -211,7 +217,7 @@
   Post(passbridge::RosterChanged{kind, version, told ? entries : nullptr});
 }
 
-void Engine::LoseTasks(NodeId node, Time sent_before) {
+std::size_t Engine::LoseTasks(NodeId node, Time sent_before, bool disown) {
   std::vector<Handle> lost;
   requests_.ForEach([&](Handle handle, const Request& r) {
     if (r.standing && r.node == node && r.sent < sent_before) lost.push_back(handle);
@@ -220,8 +226,11 @@
     Request* r = requests_.Get(handle);
     if (r == nullptr) continue;
     ++counters.tasks_lost;
+    const TaskId id = r->id;
     FinishStanding(handle, r, Outcome::kAborted, Reason::kUntold, !r->cutting);
+    if (disown) agents_->Disown(node, id);
   }
+  return lost.size();
 }
 
 // --- What the module orders ------------------------------------------------------------------------------
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -32,6 +32,7 @@
   void OnNote(NodeId node, TaskId id, passbridge::NoteKind kind, double level) override;
   void OnProbed(NodeId node, passbridge::Outcome outcome, Time took, passbridge::Report report) override;
   void OnDead(NodeId node) override;
+  void OnStopped(NodeId node) override;
   void OnRoster(passbridge::RosterKind kind, std::int64_t version,
                 const std::vector<ListedNode>& nodes) override;
 
@@ -80,7 +81,8 @@
   void Cut(Handle handle, Request* r);
   void FinishStanding(Handle handle, Request* r, passbridge::Outcome outcome, passbridge::Reason reason,
                       bool tell);
-  void LoseTasks(NodeId node, Time sent_before);
+  // Returns how many there were; `disown`: nobody has said that they are over.
+  std::size_t LoseTasks(NodeId node, Time sent_before, bool disown = false);
   void Erase(Handle handle, Request* r);
 
   Loop* loop_;
--- a/src/engine/ports.h
+++ b/src/engine/ports.h
@@ -69,6 +69,10 @@
   virtual void Stands(NodeId node, TaskId id, bool stands) = 0;
   virtual void Probe(NodeId node) = 0;
   virtual void CloseIdle(NodeId node) = 0;
+  // A task that was taken for over while nothing was heard of the node: cut there if it is heard again.
+  virtual void Disown(NodeId node, TaskId id) = 0;
+  // It is listed as gone: until when its last words may still be on their way.
+  virtual Time WordsUntil(NodeId node) = 0;
 
  protected:
   ~Agents() = default;
@@ -111,6 +115,8 @@
   virtual void OnNote(NodeId node, TaskId id, passbridge::NoteKind kind, double level) = 0;
   virtual void OnProbed(NodeId node, passbridge::Outcome outcome, Time took, passbridge::Report report) = 0;
   virtual void OnDead(NodeId node) = 0;  // its process is gone, and all that stood there
+  // It was to leave and has been silent for too long: what stood there is taken for over.
+  virtual void OnStopped(NodeId node) = 0;
 
  protected:
   ~AgentEvents() = default;
--- /dev/null
+++ b/src/life/node_life.cpp
@@ -0,0 +1,40 @@
+#include "life/node_life.h"
+
+#include <algorithm>
+
+namespace willowrail::life {
+
+void NodeLife::Told(Listed listed, Time now) {
+  if (listed == listed_) return;
+  listed_ = listed;
+  told_ = now;
+  // Guards against a verdict that rests on silence from before the news: only questions asked since then
+  // count.
+  silent_since_ = silent_until_ = 0;
+}
+
+void NodeLife::Heard(Time now) {
+  heard_ = std::max(heard_, now);
+  silent_since_ = silent_until_ = 0;
+}
+
+void NodeLife::Asked(Time now) { asked_ = std::max(asked_, now); }
+
+void NodeLife::Unanswered(Time asked) {
+  if (asked <= heard_ || asked < told_) return;  // it has spoken since, or left since
+  if (silent_since_ == 0) silent_since_ = asked;
+  silent_since_ = std::min(silent_since_, asked);
+  silent_until_ = std::max(silent_until_, asked);
+}
+
+bool NodeLife::ShouldAsk(Time now) const {
+  return leaving() && now - heard_ >= kQuiet && now - asked_ >= kAgain;
+}
+
+bool NodeLife::Stopped(Time now) const {
+  return leaving() && now - heard_ >= kStoppedAfter && silent_until_ - silent_since_ >= kSilentFor;
+}
+
+Time NodeLife::WordsUntil(Time now) const { return std::min(now, heard_) + kLastWords; }
+
+}  // namespace willowrail::life
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -54,6 +54,9 @@
   X(attempts_reset) \
   X(attempts_no_connection) \
   X(tasks_lost) \
+  X(tasks_presumed_over) \
+  X(tasks_disowned_cut) \
+  X(life_questions) \
   X(malformed) \
   X(unfinished) \
   X(stuck_writes) \
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -3,6 +3,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "story.h"
 
+#include <atomic>
 #include <map>
 #include <set>
 #include <vector>
@@ -584,6 +585,98 @@
   }
 }
 
+// A node of which the list says that it leaves; `feed` is where the list is told, from number 3 on.
+struct LeavingSite : Site {
+  std::optional<Wire> owner, agent, other, feed;
+
+  void Leave() {
+    Start();
+    feed.emplace(bulletin.Accept());
+    feed->Raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n");
+    owner.emplace(program->Owner());
+    Ask(&*owner, kTask, "unsafe");
+    agent.emplace(first.Accept());
+    agent->Hear(Type::kSetUp, kTask);
+    agent->Answer(kTask, "there");
+    owner->Hear(Type::kAnswer, kTask);
+    Tell(2, "terminating");
+    program->Counted("bulletin_events", 1);
+    // What is open keeps its connection from being closed as idle.
+    Ask(&*owner, kOther, "unsafe");
+    other.emplace(second.Accept());
+    other->Hear(Type::kSetUp, kOther);
+  }
+  void Tell(int number, const std::string& state) {
+    feed->Raw("id: 9\ndata: " +
+              Event(number, json::array({Node("s-00000001", first.endpoint(), 10, state)})).dump() + "\n\n");
+  }
+  // The list says nothing more but that it is there: in the background, until told to stop.
+  void Beat(std::atomic<bool>* stop) {
+    while (!*stop) {
+      feed->Raw(": here\n\n");
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }
+  }
+};
+
+TEST_CASE_FIXTURE(LeavingSite, "the end of a task on a leaving node that falls silent is told in time") {
+  Leave();
+  std::atomic<bool> stop = false;
+  std::thread beat([&] { Beat(&stop); });
+  const auto from = std::chrono::steady_clock::now();
+  SUBCASE("its process has died, no reset came: the dial that follows a silent test is refused") {
+    first.Close();
+    CHECK(owner->Hear(Type::kRelease, kTask).cause == 41);
+  }
+  SUBCASE("its machine is off: tests and dials come to nothing") {
+    first.Clog();
+    CHECK(owner->Hear(Type::kRelease, kTask).cause == 41);
+    program->Counted("tasks_presumed_over", 1);
+    // It was cut off after all: what its owner was told is made true.
+    agent->Answer(kOther, "noise");
+    const auto cut = [&] {
+      Heard heard = agent->Hear();
+      while (heard.type == Type::kTest) heard = agent->Hear();
+      return heard;
+    }();
+    CHECK(cut.type == Type::kRelease);
+    CHECK(cut.task == kTask);
+    CHECK(cut.cause == 31);
+  }
+  CHECK(std::chrono::steady_clock::now() - from < std::chrono::seconds(9));
+  stop = true;
+  beat.join();
+}
+
+TEST_CASE_FIXTURE(LeavingSite, "a leaving node that has closed its door and still speaks keeps its tasks") {
+  Leave();
+  Tell(3, "in_service");
+  program->Counted("bulletin_events", 2);
+  Ask(&*owner, 3, "unsafe");
+  agent->Hear(Type::kSetUp, 3);
+  Ask(&*owner, 4, "unsafe");
+  Wire beside = first.Accept();
+  beside.Hear(Type::kSetUp, 4);
+  agent->Answer(3, "there");
+  owner->Hear(Type::kAnswer, 3);
+  beside.Answer(4, "there");
+  owner->Hear(Type::kAnswer, 4);
+  Tell(4, "terminating");
+  program->Counted("bulletin_events", 3);
+  // A reset may be the sign of a death, and the dials that follow are refused: the old connection is asked.
+  first.Close();
+  beside.Reset();
+  for (int round = 0; round < 3; ++round) {
+    program->Logged("dial refused");
+    const Heard test = agent->Hear();
+    REQUIRE(test.type == Type::kTest);
+    agent->Say(Type::kTestResult, test.task, Cause::kTestPassed);
+  }
+  owner->NothingElse();
+  agent->Say(Type::kRelease, kTask, Cause::kEnded);
+  CHECK(owner->Hear(Type::kRelease, kTask).cause == 16);
+}
+
 TEST_CASE_FIXTURE(Site, "once the load has gone every table is as at the start") {
   Start();
   program->Counted("roster", 2, "size ");
