--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,7 +1,7 @@
-// Every decision of passbridge. The interface, types only, is include/passbridge/scheduler.h. A task's way:
-// TaskArrived -> Place: Choose filters the nodes and binds by least C/W -> Offer -> Placed, or AttemptEnded
-// -> tried elsewhere where its effect allows it. What fits nowhere is held and tried again as room appears
-// (PlaceHeld); what is still owed shortly before its deadline is answered by AnswerDue.
+// Every decision of passbridge. A task's way: TaskArrived -> Place: Choose filters the nodes and binds by
+// least C/W -> Offer -> Placed, or AttemptEnded -> tried elsewhere where its effect allows it. What fits
+// nowhere is held and tried again (PlaceHeld); what is owed shortly before its deadline is answered by
+// AnswerDue.
 #include <algorithm>
 #include <cmath>
 #include <functional>
@@ -9,6 +9,7 @@
 #include <optional>
 #include <queue>
 #include <random>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -45,6 +46,10 @@
 constexpr double kMemoryBrink = 1.0;
 constexpr double kLarge = 4;     // mean sizes of a large task: a home is kept for each class's largest
 constexpr double kGuess = 0.35;  // of a node: size of a class that needs its kind, until one of it was seen
+// With many nodes a scheduler binds at home up to kHomeMost times the mean level, where nobody else's binds
+// are missing from the view. There a start of a program that is not kept weighs kColdStart of one that is,
+// and what waits to start is C in mean tasks.
+constexpr double kHomeMost = 1.1, kColdStart = 9;
 // Probes, so far apart over all schedulers, so many of these at one node: a report of use corrects bookings.
 constexpr Time kProbeEvery = 100 * kMs;
 constexpr int kProbersAtOnce = 10;
@@ -88,34 +93,34 @@
   std::mt19937_64 random;
   NodeTable table;
   const std::vector<Node*>& nodes = table.ordered();  // by number, as every scheduler has them
-  std::vector<Node*> struck, dirty, cold;  // set aside; unknown to the index; that were cold when listed
-  std::vector<RatioIndex> index;           // by kind
-  bool indexed = false;
+  std::vector<Node*> struck, dirty, cold,
+      homes;                              // set aside; unknown to the index; cold when listed; its part
+  std::vector<RatioIndex> index;          // by kind
+  bool indexed = false, at_home = false;  // at_home: the choice at hand
   Time index_at = 0;
-  Room mean{1, 1}, mean_indexed{1, 1};  // use per asked unit, over all own tasks
-  std::uint64_t mean_state = 1, turn = 0, looked = 0;
+  UseSums sums;
+  Room mean_indexed{1, 1};
+  std::uint64_t turn = 0, looked = 0;
   willowrail::NamedTable<RequestId, Request> requests;
   willowrail::NumberSet<RequestId> held;
-  willowrail::NumberMap<std::uint64_t, std::vector<OnNode>> services;
-  Room held_all, used_all;  // over all nodes: asked by own tasks, and used by them
+  ServiceTable services;
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due;  // what is owed, by when
   std::vector<Candidate> scores;  // these are of one choice or turn, and keep their memory
   std::vector<Node*> poor;
   std::vector<Around> around;
   std::vector<Waiting> order;
   std::vector<std::uint64_t> full;
-  std::vector<Seen> seen;            // by class
-  std::vector<double> tenant_cores;  // asked by own placed tasks, by tenant
+  std::vector<Seen> seen;  // by class
+  TenantCores tenants;
   std::vector<Action> out;
   Time now = 0, started = 0, next_wake = 0, probe_at = 0, armed = 0;
   Pace arrivals{kRateAtFirst, kRateOver}, ends{kRateAtFirst, kRateOver};
-  double mean_answer = 0;  // nanoseconds
+  double mean_answer = 0, mean_level = 0;  // nanoseconds; asked cores over cores, of all nodes
   int said = 0;
   bool begun = false, subscribed = false, asked = false, probed = false;
   Time asked_at = 0, ask_at = 0, heard_at = 0, ask_pause = kAskFirst;
   Lag lag;  // of the list
 
-  // --- Small helpers ------------------------------------------------------------------------------------
   std::size_t Index(const Task& task) const {
     return std::min<std::size_t>(task.class_index, settings.classes.size() - 1);
   }
@@ -140,44 +145,24 @@
   }
   bool Cold(const Node& n) const { return n.entry.came_up > 0 && now - n.entry.came_up < settings.cold; }
 
-  // Own binds enter the late view and leave it as the list catches up with them.
   void Enter(Node* n, RequestId id, double sign, const Task& task) {
-    n->own.push_back({id, now, {sign * task.cores, sign * task.memory}});
-    n->not_in_view.Add(1, n->own.back().room);  // younger than whatever was heard
+    n->Enter(id, now, {sign * task.cores, sign * task.memory});
     Changed(n);
   }
   template <typename Which>
   void Leave(Node* n, Which which) {
-    std::erase_if(n->own, which);
-    n->not_in_view = {};
-    for (const OwnChange& c : n->own) {
-      if (c.at + lag.value() >= heard_at) n->not_in_view.Add(1, c.room);
-    }
+    n->Leave(heard_at - lag.value(), which);
     Changed(n);
   }
-  // In use there: own tasks by their notes, the others by the mean use per asked unit.
-  const Room& Used(const Node& n) const {
-    if (n.used_at != mean_state) {
-      const Room booked = Booked(n);
-      n.used_now = {booked.cores * n.weigh.cores, booked.memory * n.weigh.memory};
-      n.used_at = mean_state;
-    }
-    return n.used_now;
-  }
-  Room Booked(const Node& n) const {
-    return {n.used.cores + std::max(0.0, n.asked.cores - n.held.cores) * mean.cores,
-            n.used.memory + std::max(0.0, n.asked.memory - n.held.memory) * mean.memory};
-  }
+  const Room& Used(const Node& n) const { return n.Used(sums); }
   Room BookedUse(const Task& task) const {
     const Room& per = seen[Index(task)].use;
     return {task.cores * per.cores, task.memory * per.memory};
   }
   void Book(Node* n, const Request& r, double sign) {
-    for (Room* room : {&n->held, &held_all}) room->Add(sign, {r.task.cores, r.task.memory});
-    for (Room* room : {&n->used, &used_all}) room->Add(sign, r.use);
-    mean = {held_all.cores > 0 ? used_all.cores / held_all.cores : 1,
-            held_all.memory > 0 ? used_all.memory / held_all.memory : 1};
-    ++mean_state;
+    n->held.Add(sign, {r.task.cores, r.task.memory});
+    n->used.Add(sign, r.use);
+    sums.Book(sign, {r.task.cores, r.task.memory}, r.use);
     Changed(n);
   }
 
@@ -200,10 +185,6 @@
     return (turn + n->entry.node) % ((count + group - 1) / group) == settings.ordinal / group &&
            (n->cold_sends.empty() || n->cold_sends.back() < ours);
   }
-  static bool SamePlace(Place place, const NodeEntry& a, const NodeEntry& b) {
-    return a.node == b.node || place == Place::kAll || (place == Place::kZone && a.zone == b.zone) ||
-           (place == Place::kCell && a.cell == b.cell);
-  }
   // Rule 5: own attempts and tasks of the service in the node's place stay within the class's most.
   bool SpreadAllows(const Node& n, const Task& task) const {
     const ClassSettings& c = ClassOf(task);
@@ -214,14 +195,11 @@
     }
     return there + 1 <= c.most;
   }
-  // What the filters and scores need of the service at hand; `around` and Node::turn are of this task from
-  // here on.
+  // What the filters and scores need of the service at hand; `around` and Node::turn are of this task now.
   void LookAround(const Task& task) {
     around.clear();
     ++turn;
-    const auto it = services.find(task.service);
-    if (it == services.end()) return;
-    for (const OnNode& on : it->second) {
+    for (const OnNode& on : services.Of(task.service)) {
       Node* n = table.Find(on.node);
       around.push_back({&n->entry, on.out});
       n->turn = turn;
@@ -313,9 +291,7 @@
     if (!n->listed || n->entry.state != NodeState::kReady) return false;  // rule 3
     if (c.kind >= 0 && c.kind != n->entry.kind) return false;
     if (n->strikes > 0) return false;
-    for (const TurnedAway& t : n->turned_away) {
-      if (t.class_index == r.task.class_index && t.tenant == r.task.tenant && t.until > now) return false;
-    }
+    if (n->TurnsAway(r.task, now)) return false;
     if (std::find(r.failed_on.begin(), r.failed_on.end(), n->entry.node) != r.failed_on.end()) return false;
     return ColdAllows(n) && SpreadAllows(*n, r.task) && EffectAllows(*n, r) && Fits(*n, r);
   }
@@ -371,6 +347,7 @@
   std::optional<NodeId> Choose(const Request& r) {
     LookAround(r.task);
     scores.clear();
+    at_home = false;
     double room = 0;
     if (indexed) {
       Gather(r, &room);
@@ -387,7 +364,7 @@
         if (!scores.empty()) break;
       }
     }
-    if (scores.empty() || !InTurn(r, room)) return std::nullopt;
+    if (scores.empty() || !(at_home || InTurn(r, room))) return std::nullopt;
     Candidate sum{0, 0, 0};
     for (const Candidate& s : scores) sum = {0, sum.c + s.c, sum.w + s.w};
     for (Candidate& s : scores) {  // not heard from: average
@@ -405,6 +382,7 @@
   // near-ties, the binds of others and those who wait can need. What the index knows may be old by kDrift.
   void Gather(const Request& r, double* room) {
     Refresh();
+    if (Home(r, room)) return;
     const Room use = BookedUse(r.task);
     const RatioIndex::Rooms need{r.task.cores, r.task.memory, use.cores, use.memory};
     const double bind = r.task.cores * kSetupTasks;
@@ -439,15 +417,50 @@
     if (!scores.empty()) return;
     for (const Node* n : poor) Take(*n, r, room);
   }
+  // Guards against a herd on one late view: each scheduler has a part of its zone's nodes for itself, by a
+  // hash that all know, and binds elsewhere only what finds no room or service there.
+  bool Home(const Request& r, double* room) {
+    const auto consider = [&](Node* n) {
+      if (Allowed(n, r) && Comfortable(*n, r)) Take(*n, r, room);
+    };
+    for (Node* n : homes) {
+      if (n->asked.cores <= kHomeMost * mean_level * Cores(*n)) consider(n);
+    }
+    for (std::size_t i = 0; !homes.empty() && i < around.size(); ++i) {
+      if (Node* n = table.Find(around[i].entry->node); !n->home) consider(n);
+    }
+    for (Candidate& s : scores) s.c += table.Find(s.node)->start_queue;
+    return at_home = !scores.empty();
+  }
+  // In which zone the others are is not told: that they stand in turn, by number, is as good a guess as any.
+  void FindOwnPart() {
+    homes.clear();
+    std::set<int> zones;
+    for (const Node* n : nodes) zones.insert(n->entry.zone);
+    const int count = std::max<int>(1, static_cast<int>(zones.size()));
+    const int parts = indexed ? (settings.scheduler_count + count - 1) / count : 1;
+    for (Node* n : nodes) {
+      const int part = static_cast<int>(willowrail::HashDraw(0, n->entry.node) * parts);
+      n->home = parts > 1 && n->entry.zone == settings.zone && part == settings.ordinal / count % parts;
+      if (n->home) homes.push_back(n);
+    }
+  }
   void Refresh() {
     const auto moved = [](double a, double b) { return std::abs(a - b) > kDrift * b; };
     if (now >= index_at) {
       index_at = now + kIndexEvery;
-      const bool drifted = moved(mean.cores, mean_indexed.cores) || moved(mean.memory, mean_indexed.memory);
-      if (drifted) mean_indexed = mean;
+      const bool drifted =
+          moved(sums.mean.cores, mean_indexed.cores) || moved(sums.mean.memory, mean_indexed.memory);
+      if (drifted) mean_indexed = sums.mean;
       for (std::size_t i = 0; drifted && i < nodes.size(); ++i) Write(nodes[i]);
       for (Node* n : cold) Write(n);
       FindHomes();
+      Room asked, all;
+      for (const Node* n : nodes) {
+        asked.Add(Healthy(*n), n->asked);
+        all.Add(Healthy(*n), {Cores(*n), 0});
+      }
+      mean_level = all.cores > 0 ? asked.cores / all.cores : 0;
     }
     for (Node* n : dirty) Write(n);
     dirty.clear();
@@ -473,8 +486,7 @@
   // After the list has changed. A few nodes are scanned faster than an index of them is kept.
   void IndexOrNot() {
     const bool many = settings.view && settings.fleet_price <= 0 && nodes.size() > kIndexFrom;
-    if (many == indexed) return;
-    indexed = many;
+    if (many == std::exchange(indexed, many)) return;
     index.assign(many ? settings.kind_cores.size() : 0, {});
     dirty.clear();
     for (Node* n : nodes) {
@@ -502,7 +514,7 @@
     std::sort(scores.begin(), scores.end(), [](const Candidate& a, const Candidate& b) {
       return std::tuple(a.c * b.w, a.node) < std::tuple(b.c * a.w, b.node);
     });
-    double level = 0, c = Others(), w = -kSteep * c;
+    double level = 0, c = at_home ? 0 : Others(), w = -kSteep * c;
     for (const Candidate& s : scores) {
       if (w > 0 && c / w <= s.c / s.w) break;
       c += s.c;
@@ -569,19 +581,16 @@
     Book(&n, *r, 1);
     Enter(&n, r->task.id, 1, r->task);
     if (Cold(n)) n.cold_sends.push_back(now);
-    ++On(r->task.service, *id).out;
+    OnNode& on = services.At(r->task.service, *id);
+    n.start_queue += r->start_work = HasProgram(on) ? 1 : kColdStart;
+    ++on.out;
     out.push_back(Offer{r->task.id, *id, Until(*r)});
   }
-  OnNode& On(std::uint64_t service, NodeId node) {
-    std::vector<OnNode>& all = services[service];
-    const auto it = std::ranges::find(all, node, &OnNode::node);
-    return it != all.end() ? *it : all.emplace_back(OnNode{node, 0, 0});
-  }
   // Worth of a second of the task per unit of room, nearly nothing beyond its tenant's share.
   double Value(const Request& r) const {
     const std::size_t tenant = r.task.tenant;
     const double quota = tenant < settings.tenants.size() ? settings.tenants[tenant].quota_cores : 0;
-    const bool over = quota > 0 && tenant_cores[tenant] * settings.scheduler_count > quota;
+    const bool over = quota > 0 && tenants.cores[tenant] * settings.scheduler_count > quota;
     return ClassOf(r.task).worth * (over ? settings.over_share_worth : 1);
   }
   void PlaceHeld() {
@@ -630,7 +639,6 @@
     out.push_back(SetTimer{0, armed});
   }
 
-  // --- Health -------------------------------------------------------------------------------------------
   // Guards against nodes that do not answer: set aside, longer each time, until a probe or task succeeds.
   void Strike(Node* n) {
     if (n->strikes > 0 && n->aside_until > now) return;
@@ -721,6 +729,7 @@
     }
     Forget();
     IndexOrNot();
+    FindOwnPart();
   }
   // Guards against tables that only grow: nodes come and go, and so do services.
   void Forget() {
@@ -737,12 +746,7 @@
       for (RatioIndex& each : index) each.Clear(n->slot);
       return true;
     });
-    for (auto it = services.begin(); it != services.end();) {
-      std::erase_if(it.value(),
-                    [&](const OnNode& on) { return !HasProgram(on) || table.Find(on.node) == nullptr; });
-      it = it->second.empty() ? services.erase(it) : std::next(it);
-    }
-    willowrail::Tighten(&services);
+    services.Forget([&](const OnNode& on) { return !HasProgram(on) || table.Find(on.node) == nullptr; });
     requests.Shrink();
   }
 
@@ -768,12 +772,8 @@
     Node* n = table.FindOrInsert(e.node);
     n->entry.node = e.node;
     Book(n, r, 1);
-    ++On(r.task.service, e.node).out;
-    CountTenant(r.task, 1);
-  }
-  void CountTenant(const Task& task, double sign) {
-    const std::size_t tenant = task.tenant;
-    if (tenant < tenant_cores.size()) tenant_cores[tenant] += sign * task.cores;
+    ++services.At(r.task.service, e.node).out;
+    tenants.Count(r.task, 1);
   }
   void On(const Placed& e) {
     Request* r = requests.Find(e.id);
@@ -781,9 +781,10 @@
     r->placed = true;
     r->owed = false;
     Node* n = table.Find(r->node);
+    n->start_queue -= std::exchange(r->start_work, 0);
     Answers(n);
     n->answered_at = now;
-    CountTenant(r->task, 1);
+    tenants.Count(r->task, 1);
     mean_answer += (e.took - mean_answer) / (mean_answer > 0 ? 16 : 1);
   }
   void On(const AttemptEnded& e) {
@@ -792,13 +793,14 @@
     Request& r = *found;
     Node& n = *table.Find(r.node);
     r.out = false;
+    n.start_queue -= std::exchange(r.start_work, 0);
     Book(&n, r, -1);
-    OnNode& on = On(r.task.service, r.node);
+    OnNode& on = services.At(r.task.service, r.node);
     --on.out;
     if (r.placed) {
       ends.Note(now);
       on.ended = now;
-      CountTenant(r.task, -1);
+      tenants.Count(r.task, -1);
       Enter(&n, r.task.id, -1, r.task);
       if (e.outcome == Outcome::kAborted) {
         if (e.reason == Reason::kEvicted) n.poor_until = now + kPoorRest;
@@ -889,7 +891,7 @@
   }
   // Guards against what bookings cannot show: tasks of others that use more than asked, slow cores, starts.
   void Weigh(Node* n, const Report& report) {
-    const Room booked = Booked(*n);
+    const Room booked = n->Booked(sums);
     const auto learn = [](double seen, double expected, double* weigh) {
       if (expected < kWeighFrom) return;
       *weigh += kWeighStep * (std::clamp(seen / expected, kWeighLeast, kWeighMost) - *weigh);
@@ -929,7 +931,7 @@
     if (kind >= settings.kind_cores.size()) continue;
     state_->seen[i].largest = {kGuess * settings.kind_cores[kind], kGuess * settings.kind_memory[kind]};
   }
-  state_->tenant_cores.assign(settings.tenants.size(), 0);
+  state_->tenants.cores.assign(settings.tenants.size(), 0);
   state_->settings = std::move(settings);
   state_->random.seed(seed);
 }
--- a/src/logic_state.h
+++ b/src/logic_state.h
@@ -41,6 +41,18 @@
   Time until = 0;
 };
 
+// Asked by own tasks over all nodes, and used by them: the mean use of an asked unit.
+struct UseSums {
+  Room held, used, mean{1, 1};
+  std::uint64_t state = 1;  // of the mean
+  void Book(double sign, const Room& asked, const Room& use) {
+    held.Add(sign, asked);
+    used.Add(sign, use);
+    mean = {held.cores > 0 ? used.cores / held.cores : 1, held.memory > 0 ? used.memory / held.memory : 1};
+    ++state;
+  }
+};
+
 struct NodeRecord {
   NodeEntry entry;
   bool listed = false, heard = false, probing = false;  // heard: its free room was told
@@ -60,6 +72,41 @@
   Time aside_until = 0, poor_until = 0;
   std::vector<Time> cold_sends;
   std::vector<TurnedAway> turned_away;
+  bool home = false;       // of this scheduler
+  double start_queue = 0;  // work of own starts that are still owed an answer, in starts of a kept program
+
+  // In use there: own tasks by their notes, the others by the mean use per asked unit.
+  const Room& Used(const UseSums& sums) const {
+    if (used_at != sums.state) {
+      const Room booked = Booked(sums);
+      used_now = {booked.cores * weigh.cores, booked.memory * weigh.memory};
+      used_at = sums.state;
+    }
+    return used_now;
+  }
+  Room Booked(const UseSums& sums) const {
+    return {used.cores + std::max(0.0, asked.cores - held.cores) * sums.mean.cores,
+            used.memory + std::max(0.0, asked.memory - held.memory) * sums.mean.memory};
+  }
+  bool TurnsAway(const Task& task, Time now) const {
+    return std::ranges::any_of(turned_away, [&](const TurnedAway& t) {
+      return t.class_index == task.class_index && t.tenant == task.tenant && t.until > now;
+    });
+  }
+  // Own binds and ends enter the late view, and leave it as the list catches up with them: those from `shown`
+  // on are not in it.
+  void Enter(RequestId id, Time now, const Room& room) {
+    own.push_back({id, now, room});
+    not_in_view.Add(1, room);
+  }
+  template <typename Which>
+  void Leave(Time shown, Which which) {
+    std::erase_if(own, which);
+    not_in_view = {};
+    for (const OwnChange& c : own) {
+      if (c.at >= shown) not_in_view.Add(1, c.room);
+    }
+  }
 };
 
 struct Request {
@@ -70,7 +117,8 @@
   int attempts = 0;
   NodeId node = 0, first_node = 0;  // of the attempt that is out; of the first that may have run
   Time sent = 0, first_sent = 0;
-  Room use;  // booked at its node
+  Room use;               // booked at its node
+  double start_work = 0;  // counted in its node's start queue
   std::vector<NodeId> failed_on;
 };
 
@@ -85,6 +133,46 @@
   Time ended = 0;  // when the last one ended, 0: never
 };
 
+// Where the tasks of each service are, and were a while ago.
+class ServiceTable {
+ public:
+  std::size_t size() const { return services_.size(); }
+  OnNode& At(std::uint64_t service, NodeId node) {
+    std::vector<OnNode>& all = services_[service];
+    const auto it = std::ranges::find(all, node, &OnNode::node);
+    return it != all.end() ? *it : all.emplace_back(OnNode{node, 0, 0});
+  }
+  const std::vector<OnNode>& Of(std::uint64_t service) const {
+    static const std::vector<OnNode> kNone;
+    const auto it = services_.find(service);
+    return it == services_.end() ? kNone : it->second;
+  }
+  template <typename Which>
+  void Forget(Which which) {
+    for (auto it = services_.begin(); it != services_.end();) {
+      std::erase_if(it.value(), which);
+      it = it->second.empty() ? services_.erase(it) : std::next(it);
+    }
+    willowrail::Tighten(&services_);
+  }
+
+ private:
+  willowrail::NumberMap<std::uint64_t, std::vector<OnNode>> services_;
+};
+
+inline bool SamePlace(Place place, const NodeEntry& a, const NodeEntry& b) {
+  return a.node == b.node || place == Place::kAll || (place == Place::kZone && a.zone == b.zone) ||
+         (place == Place::kCell && a.cell == b.cell);
+}
+
+struct TenantCores {  // asked by own placed tasks, by tenant
+  std::vector<double> cores;
+  void Count(const Task& task, double sign) {
+    const std::size_t tenant = task.tenant;
+    if (tenant < cores.size()) cores[tenant] += sign * task.cores;
+  }
+};
+
 using NodeTable = willowrail::OrderedTable<NodeId, NodeRecord>;
 using Node = NodeTable::Member;
 
