Keep ends that are owed to owners in a table of their own, until they are heard

On a way that was never served only the owner's word counts. The front writes what waits and tells the table what became of it; its own lists are gone.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -26,7 +26,6 @@
 constexpr Time kFresh = 100 * kMs;           // its first message may be on its way
 constexpr Time kLinger = 400 * kMs;          // for the other side to read what was written last
 constexpr Time kMayBeClosing = 3 * kSecond;  // of idleness: no release goes there if another way is open
-constexpr Time kCrossing = 500 * kMs;        // a release unheard for so short may have met a close
 constexpr Time kHeldMost = 600 * kMs;        // then a release goes also where nothing was served yet
 constexpr std::size_t kMostOpen = 512;       // set-ups on one connection; a busy day sees a tenth
 constexpr Time kOverMostAway = kSecond;
@@ -116,7 +115,10 @@
   });
   for (const Handle handle : left) Remove(handle);
   for (const Handle handle : late) Dismiss(handle);
-  if (!owed_releases_.empty()) SendOwed();
+  ends_.Tick(now);
+  counters.ends_given_up_old = ends_.given_up_old();
+  counters.ends_given_up_full = ends_.given_up_full();
+  if (ends_.waiting() > 0) SendOwed();
   loop_->After(kSweep, [this] { Sweep(); });
 }
 
@@ -136,16 +138,13 @@
   if (owner == nullptr) return;
   ++counters.owner_closed;
   const std::vector<TaskId> open = std::move(owner->open);
-  const std::vector<OwedRelease> unheard = std::move(owner->unheard);
   loop_->Bury(std::move(owner->connection));
   owners_.Erase(handle);
   for (const TaskId id : open) events_->OnAbandoned(id, handle);
   // Guards against a release that crosses its owner's close: nobody has read it.
-  for (const OwedRelease& release : unheard) {
-    if (loop_->Now() - release.since >= kCrossing) continue;
-    ++counters.releases_sent_again;
-    Send(0, release);
-  }
+  const std::size_t again = ends_.Lost(handle, loop_->Now());
+  counters.releases_sent_again += again;
+  if (again > 0) SendOwed();
 }
 
 std::size_t Front::OnData(Connection& connection, std::string_view data) {
@@ -165,7 +164,7 @@
 void Front::OnEnd(Connection& connection, Ending) { Remove(connection.tag); }
 
 bool Front::idle() {
-  bool all = owed_releases_.empty();
+  bool all = ends_.waiting() == 0;
   owners_.ForEach([&](Handle, const Owner& owner) { all = all && owner.connection->flushed(); });
   return all;
 }
@@ -204,7 +203,7 @@
       return true;
     case Type::kReleaseHeard:
       ++counters.owner_heard;
-      std::erase_if(owner->unheard, [&m](const OwedRelease& release) { return release.id == m.task; });
+      if (ends_.Heard(m.task, connection.tag)) owner->confirms = true;
       return true;
     default:  // free, or of no meaning here
       return true;
@@ -336,7 +335,7 @@
 // What ends a task that stands may go on any connection. Guards against one that does not read it: first come
 // those that were served, as bad clients never are; of these such as cannot be closing right now; then the
 // task's own; then the one heard of last.
-Front::Owner* Front::AnyWay(Handle preferred) {
+Front::Owner* Front::AnyWay(Handle preferred, Handle shunned) {
   const Time now = loop_->Now();
   const auto rank = [&](Handle handle, const Owner& owner) {
     const Time heard = owner.connection->last_traffic;
@@ -351,7 +350,7 @@
   Owner* best = nullptr;
   Handle best_handle = 0;
   owners_.ForEach([&](Handle handle, Owner& owner) {
-    if (owner.leaving > 0) return;
+    if (owner.leaving > 0 || handle == shunned) return;
     if (best != nullptr && rank(handle, owner) <= rank(best_handle, *best)) return;
     best = &owner;
     best_handle = handle;
@@ -360,39 +359,45 @@
 }
 
 void Front::Trusted(Owner* owner) {
-  if (!std::exchange(owner->trusted, true) && !owed_releases_.empty()) SendOwed();
+  if (!std::exchange(owner->trusted, true) && ends_.waiting() > 0) SendOwed();
 }
 
-bool Front::TrySend(Handle origin, const OwedRelease& release) {
-  Owner* owner = AnyWay(origin);
+bool Front::TrySend(Handle origin, const OwedEnds::End& end) {
+  // Where the only way left is the one that fell silent, that one is better than none.
+  Owner* owner = AnyWay(origin, end.shunned);
+  if (owner == nullptr && end.shunned != 0) owner = AnyWay(origin, 0);
   const Time now = loop_->Now();
-  if (owner == nullptr || (!owner->trusted && now - release.since < kHeldMost)) return false;
-  std::erase_if(owner->unheard, [now](const OwedRelease& r) { return now - r.since >= kCrossing; });
-  owner->unheard.push_back(release);
-  owner->unheard.back().since = now;
-  Writer message(owner->connection->out(), release.type, release.id);
-  if (release.type == Type::kRelease) message.Add(release.cause);
+  if (owner == nullptr || (!owner->trusted && now - end.since < kHeldMost)) return false;
+  // Guards against an end that is told to a bad client alone: there only its word counts as read.
+  ends_.Written(end.task, owner->connection->tag, owner->confirms || !owner->trusted, now);
+  const auto type = static_cast<Type>(end.kind);
+  Writer message(owner->connection->out(), type, end.task);
+  if (type == Type::kRelease) message.Add(static_cast<Cause>(end.cause));
   return true;
 }
 
-void Front::Send(Handle origin, const OwedRelease& release) {
-  if (TrySend(origin, release)) return;
-  ++counters.releases_held;
-  owed_releases_.push_back(release);
+void Front::Send(Handle origin, Type type, TaskId id, Cause cause) {
+  const Time now = loop_->Now();
+  ends_.Owe(id, static_cast<int>(type), static_cast<int>(cause), now);
+  if (!TrySend(origin, {id, static_cast<int>(type), static_cast<int>(cause), now, 0, 0, 0, false})) {
+    ++counters.releases_held;
+  }
 }
 
 void Front::SendOwed() {
-  std::erase_if(owed_releases_, [this](const OwedRelease& release) { return TrySend(0, release); });
+  for (const OwedEnds::End& end : ends_.Waiting()) {
+    if (!TrySend(0, end)) return;  // what is owed for longer is sent first, and the same ways are open to all
+  }
 }
 
 void Front::Release(Handle origin, TaskId id, Over over) {
   ++counters.releases_sent;
-  Send(origin, {Type::kRelease, id, CauseOf(over), loop_->Now()});
+  Send(origin, Type::kRelease, id, CauseOf(over));
 }
 
 void Front::Move(Handle origin, TaskId id) {
   ++counters.moves_sent;
-  Send(origin, {Type::kMove, id, Cause::kReset, loop_->Now()});
+  Send(origin, Type::kMove, id, Cause::kReset);
 }
 
 }  // namespace willowrail
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "config/config.h"
+#include "ends/owed_ends.h"
 #include "engine/ports.h"
 #include "net/connection.h"
 #include "net/listener.h"
@@ -26,6 +27,7 @@
   bool idle();                        // nothing is left to write
   void Finish();                      // closes its side of every connection
   std::size_t size() const { return owners_.size(); }
+  std::size_t ends() const { return ends_.size(); }
 
   void Answer(Handle origin, TaskId id, std::string_view description) override;
   void Refuse(Handle origin, TaskId id, Time stay_away) override;
@@ -34,20 +36,14 @@
   void Move(Handle origin, TaskId id) override;
 
  private:
-  struct OwedRelease {
-    proto::Type type;
-    TaskId id;
-    proto::Cause cause;
-    Time since;
-  };
   struct Owner {
     std::unique_ptr<Connection> connection;
-    Time since = 0;                    // it connected
-    std::vector<TaskId> open;          // set-ups without an answer
-    std::vector<OwedRelease> unheard;  // written here, and not known to have been read
-    bool trusted = false;              // a task of its was served
-    bool spoke = false;                // sent something that usual owners send
-    Time leaving = 0;                  // its side is closed, since then
+    Time since = 0;            // it connected
+    std::vector<TaskId> open;  // set-ups without an answer
+    bool trusted = false;      // a task of its was served
+    bool spoke = false;        // sent something that usual owners send
+    bool confirms = false;     // has said that it heard a release
+    Time leaving = 0;          // its side is closed, since then
   };
   enum class Verdict { kTaken, kRejected, kUnreadable };
 
@@ -59,10 +55,10 @@
   bool ReadSetUp(const proto::Message& message, SetUp* set_up) const;
   bool ReadFigures(std::string_view text, SetUp* set_up) const;
   Connection* Settled(Handle origin, TaskId id);
-  Owner* AnyWay(Handle preferred);
+  Owner* AnyWay(Handle preferred, Handle shunned);
   void Trusted(Owner* owner);
-  bool TrySend(Handle origin, const OwedRelease& release);
-  void Send(Handle origin, const OwedRelease& release);
+  bool TrySend(Handle origin, const OwedEnds::End& end);
+  void Send(Handle origin, proto::Type type, TaskId id, proto::Cause cause);
   void SendOwed();
   void Dismiss(Handle handle);
   void Remove(Handle handle);
@@ -75,7 +71,7 @@
   std::size_t most_ = 0;
   OwnerEvents* events_;
   SlotTable<Owner> owners_;
-  std::vector<OwedRelease> owed_releases_;  // no owner that would read them was connected
+  OwedEnds ends_;
   bool draining_ = false;
   Listener listener_;
 };
--- a/src/life/node_life.h
+++ b/src/life/node_life.h
@@ -41,7 +41,7 @@
 using Time = std::int64_t;  // nanoseconds
 
 constexpr Time kQuiet = 6'250'000'000;      // nothing heard for so long: a question is due
-constexpr Time kAgain = 500'000'000;      // from one question to the next
+constexpr Time kAgain = 500'000'000;        // from one question to the next
 constexpr Time kSilentFor = 1'000'000'000;  // from the first unanswered question to the last
 constexpr Time kStoppedAfter = 7'000'000'000;
 // A gone node's last words may be on their way for so long.
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -38,6 +38,8 @@
   X(releases_sent) \
   X(releases_held) \
   X(releases_sent_again) \
+  X(ends_given_up_old) \
+  X(ends_given_up_full) \
   X(moves_sent) \
   X(offers_sent) \
   X(offers_unsent) \
--- a/src/roles/serve.cpp
+++ b/src/roles/serve.cpp
@@ -83,10 +83,10 @@
                  static_cast<unsigned long long>(proto::bytes_written));
     if (counting_build != nullptr) counting_build(stderr);
     const std::pair<const char*, std::size_t> sizes[] = {
-        {"owed", engine.owed()},     {"standing", engine.standing()},  {"owners", front.size()},
-        {"listed", engine.nodes()},  {"module", engine.module_size()}, {"roster", bulletin.size()},
-        {"agents", pool.size()},     {"agent_lines", pool.lines()},    {"agent_open", pool.open()},
-        {"blocks", Blocks().live()}, {"deadlines", loop.deadlines()}};
+        {"owed", engine.owed()},     {"standing", engine.standing()}, {"owners", front.size()},
+        {"owed_ends", front.ends()}, {"listed", engine.nodes()},      {"module", engine.module_size()},
+        {"roster", bulletin.size()}, {"agents", pool.size()},         {"agent_lines", pool.lines()},
+        {"agent_open", pool.open()}, {"blocks", Blocks().live()},     {"deadlines", loop.deadlines()}};
     for (const auto& [name, size] : sizes) std::fprintf(stderr, "size %s %zu\n", name, size);
     std::fflush(stderr);
   };
