--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -677,6 +677,69 @@
   CHECK(owner->Hear(Type::kRelease, kTask).cause == 16);
 }
 
+TEST_CASE_FIXTURE(Site, "an end told to an owner that was never served is owed until somebody confirms it") {
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "unsafe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Answer(kTask, "there");
+  owner.Hear(Type::kAnswer, kTask);
+  owner.Close();
+  program->Counted("owner_closed", 1);
+  agent.Say(Type::kRelease, kTask, Cause::kEnded);
+  program->Counted("releases_held", 1);
+  // It comes back, and only with what is refused: the end goes there in the end, and it does not say a word.
+  Wire bad = program->Owner();
+  Ask(&bad, kOther, "no such class");
+  bad.Hear(Type::kRelease, kOther);
+  bad.Hear(Type::kRelease, kTask);
+  bad.Hear(Type::kRelease, kTask);  // and again, for want of any other
+  bad.Close();
+  program->Counted("owner_closed", 2);
+  program->Counted("owed_ends", 1, "size ");
+  // Nobody else is there: it stays owed, and goes to the next that comes, who confirms it.
+  Wire next = program->Owner();
+  next.Say(Type::kTest, 1, Cause::kTestFailed);
+  next.Hear(Type::kTestResult, 1);
+  CHECK(next.Hear(Type::kRelease, kTask).cause == 16);
+  next.Say(Type::kReleaseHeard, kTask);
+  program->Counted("owed_ends", 0, "size ");
+}
+
+TEST_CASE_FIXTURE(Site, "an end that comes while SIGTERM is being served still reaches its owner") {
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "unsafe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Answer(kTask, "there");
+  owner.Hear(Type::kAnswer, kTask);
+  Ask(&owner, kOther, "unsafe");
+  agent.Hear(Type::kSetUp, kOther);
+  program->Signal(SIGTERM);
+  program->Logged("stopping");
+  agent.Say(Type::kRelease, kTask, Cause::kEnded);
+  CHECK(owner.Hear(Type::kRelease, kTask).cause == 16);
+  agent.Answer(kOther, "there");
+  owner.Hear(Type::kAnswer, kOther);
+  CHECK(program->ExitStatus() == 0);
+}
+
+TEST_CASE_FIXTURE(LeavingSite,
+                  "a node replaced at its address by another uid: what stood there has ended, and is told") {
+  Leave();
+  feed->Raw("id: 9\ndata: " +
+            Event(3, json::array({Node("s-00000001", first.endpoint(), 10, "terminated"),
+                                  Node("s-00000003", first.endpoint(), 10)}))
+                .dump() +
+            "\n\n");
+  CHECK(owner->Hear(Type::kRelease, kTask).cause == 41);
+  // The old connection is no way to the new node, nor its word about the old task one of its own.
+  agent->Say(Type::kRelease, kTask, Cause::kEnded);
+  owner->NothingElse();
+}
+
 TEST_CASE_FIXTURE(Site, "once the load has gone every table is as at the start") {
   Start();
   program->Counted("roster", 2, "size ");
