Do not cut a task that was taken for over once its owner has handed it over again

Need: read again, Pool::disowned kept the id of a task that was presumed over on a silent node also where its owner, after its wait, handed the same task over with `at`; the node's next word would have had it cut though it was wanted.

Change: what stands again is no longer disowned.

--- a/src/agents/pool.cpp
+++ b/src/agents/pool.cpp
@@ -247,6 +247,7 @@
 void Pool::Stands(NodeId node, TaskId id, bool stands) {
   Peer& peer = peers_[node];
   if (stands) {
+    std::erase(peer.disowned, id);  // its owner has handed it over again: it is wanted after all
     peer.standing.insert(id);
     KeepWay(node, &peer);
   } else {
