--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -21,18 +21,14 @@
 
 using willowrail::RatioIndex;
 
-constexpr Time kMs = 1'000'000, kSecond = 1000 * kMs;
-
 // --- Tuned values: unit and reason ----------------------------------------------------------------------
 constexpr double kRhoMemory = 0.5;  // the paper leaves the factors open but for their sum: both count alike
 constexpr double kRhoCores = 1 - kRhoMemory;
 constexpr double kNearTie = 0.08;  // share of the least score within which scores are near-ties in any case
 // Binds of others stay unseen for kUnseen seconds, and each takes kSteep off W. Their rate is that of own
 // arrivals, counted over kRateOver, kRateAtFirst of them taken for granted. kMostLevel: no limit.
-constexpr double kUnseen = 4;
-constexpr double kSteep = 0.35;
-constexpr double kRateOver = 5 * kSecond;
-constexpr double kRateAtFirst = 2;
+constexpr double kUnseen = 4, kSteep = 0.35;
+constexpr double kRateOver = 5 * kSecond, kRateAtFirst = 2;
 constexpr double kMostLevel = 1e6;
 // C of a bind where the program is not on the node, in tasks of its own size. A node keeps one for a while.
 constexpr double kSetupTasks = 30;
@@ -40,10 +36,7 @@
 constexpr Time kRefusalHolds = 1500 * kMs;  // so long a refusal for want of room outweighs the list
 // Shares of cores busy and memory in use that a bind may bring a node to. Where no node is that comfortable,
 // past its class's calm by kFadeTaken of its fade, and memory to the brink: served poorly beats not served.
-constexpr double kBusyMost = 0.95;
-constexpr double kMemoryMost = 0.92;
-constexpr double kFadeTaken = 0.3;
-constexpr double kMemoryBrink = 1.0;
+constexpr double kBusyMost = 0.95, kMemoryMost = 0.92, kFadeTaken = 0.3, kMemoryBrink = 1.0;
 constexpr double kLarge = 4;     // mean sizes of a large task: a home is kept for each class's largest
 constexpr double kGuess = 0.35;  // of a node: size of a class that needs its kind, until one of it was seen
 // With many nodes a scheduler binds at home up to kHomeMost times the mean level, where nobody else's binds
@@ -53,15 +46,8 @@
 // Probes, so far apart over all schedulers, so many of these at one node: a report of use corrects bookings.
 constexpr Time kProbeEvery = 100 * kMs;
 constexpr int kProbersAtOnce = 10;
-constexpr double kWeighStep = 0.5;
-constexpr double kWeighLeast = 0.8, kWeighMost = 3;
-constexpr double kWeighFrom = 0.1;
-// A note moves the use per unit asked by this share. Memory grows for a while after a start.
-constexpr double kUseStep = 0.02;
-constexpr Time kGrows = 10 * kSecond;
 // Share of the awake nodes that is filled before one more wakes, and kAwakePrice times the price of a node.
-constexpr double kAwakeFill = 0.25;
-constexpr double kAwakePrice = 2;
+constexpr double kAwakeFill = 0.25, kAwakePrice = 2;
 // Time-outs in mean answer times, within bounds; the latter where an answer says that the task runs.
 constexpr double kTimeoutMeans = 6, kStartMeans = 9;
 constexpr Time kTimeoutLeast = 500 * kMs, kTimeoutMost = 2000 * kMs, kStartLeast = 1000 * kMs;
@@ -70,12 +56,11 @@
 constexpr Time kTurnedAwayRest = 4 * kSecond;  // a node is spared what it turned away for no told reason
 constexpr Time kPoorRest = 2 * kSecond;        // not comfortable after a note of service or memory past these
 constexpr double kPoorService = 0.9, kPressure = 0.92;
-constexpr Time kHeldTick = 50 * kMs;   // held tasks are tried again this often
-constexpr Time kViewAge = 1500 * kMs;  // the free room that the list shows is about this old
-constexpr Time kAskFirst = 200 * kMs, kAskLast = 2 * kSecond;  // pause after a failed call, doubling
-constexpr Time kSilence = 5 * kSecond;                         // a silent subscription is renewed
-constexpr double kFallMargin = 1.3;  // on the window of the cold budget: sends do not arrive evenly spaced
-constexpr int kMostLogs = 100;       // lines in one life
+constexpr Time kHeldTick = 50 * kMs;    // held tasks are tried again this often
+constexpr Time kViewAge = 1500 * kMs;   // the free room that the list shows is about this old
+constexpr Time kSilence = 5 * kSecond;  // a silent subscription is renewed
+constexpr double kFallMargin = 1.3;     // on the window of the cold budget: sends do not arrive evenly spaced
+constexpr int kMostLogs = 100;          // lines in one life
 // Above kIndexFrom nodes the least C over W come from an index, and at least kLeastTaken of them are ranked;
 // it is brought up to date this often where the mean use has moved by kDrift. Past kLooked nodes comfort is
 // not sought.
@@ -117,8 +102,8 @@
   Pace arrivals{kRateAtFirst, kRateOver}, ends{kRateAtFirst, kRateOver};
   double mean_answer = 0, mean_level = 0;  // nanoseconds; asked cores over cores, of all nodes
   int said = 0;
-  bool begun = false, subscribed = false, asked = false, probed = false;
-  Time asked_at = 0, ask_at = 0, heard_at = 0, ask_pause = kAskFirst;
+  bool begun = false, probed = false;
+  Subscription list;
   Lag lag;  // of the list
 
   std::size_t Index(const Task& task) const {
@@ -151,14 +136,11 @@
   }
   template <typename Which>
   void Leave(Node* n, Which which) {
-    n->Leave(heard_at - lag.value(), which);
+    n->Leave(list.heard_at - lag.value(), which);
     Changed(n);
   }
   const Room& Used(const Node& n) const { return n.Used(sums); }
-  Room BookedUse(const Task& task) const {
-    const Room& per = seen[Index(task)].use;
-    return {task.cores * per.cores, task.memory * per.memory};
-  }
+  Room BookedUse(const Task& task) const { return seen[Index(task)].Use(task); }
   void Book(Node* n, const Request& r, double sign) {
     n->held.Add(sign, {r.task.cores, r.task.memory});
     n->used.Add(sign, r.use);
@@ -586,12 +568,14 @@
     ++on.out;
     out.push_back(Offer{r->task.id, *id, Until(*r)});
   }
+  bool OverShare(const Task& task) const {
+    const std::size_t tenant = task.tenant;
+    const double quota = tenant < settings.tenants.size() ? settings.tenants[tenant].quota_cores : 0;
+    return quota > 0 && tenants.cores[tenant] * settings.scheduler_count > quota;
+  }
   // Worth of a second of the task per unit of room, nearly nothing beyond its tenant's share.
   double Value(const Request& r) const {
-    const std::size_t tenant = r.task.tenant;
-    const double quota = tenant < settings.tenants.size() ? settings.tenants[tenant].quota_cores : 0;
-    const bool over = quota > 0 && tenants.cores[tenant] * settings.scheduler_count > quota;
-    return ClassOf(r.task).worth * (over ? settings.over_share_worth : 1);
+    return ClassOf(r.task).worth * (OverShare(r.task) ? settings.over_share_worth : 1);
   }
   void PlaceHeld() {
     order.clear();
@@ -630,10 +614,7 @@
     for (const Node* n : struck) {
       if (n->aside_until > now) next = std::min(next, n->aside_until);
     }
-    if (settings.ask_discovery) {
-      if (!subscribed && !asked) next = std::min(next, ask_at);
-      if (const Time again = asked_at + Patience() + kMs; again > now) next = std::min(next, again);
-    }
+    if (settings.ask_discovery) next = std::min(next, list.Next(now, Patience()));
     if (next == kNever || (armed > now && armed <= next)) return;
     armed = std::max(next, now + 1);
     out.push_back(SetTimer{0, armed});
@@ -657,15 +638,9 @@
     Changed(n);
   }
   void TryAside() {
-    for (std::size_t i = 0; i < struck.size(); ++i) {
-      Node* n = struck[i];
+    for (Node* n : std::vector<Node*>(struck)) {
       if (n->aside_until > now || !n->listed || n->entry.state != NodeState::kReady) continue;
-      if (settings.probing) {
-        AskNode(n);
-      } else {
-        Answers(n);
-        --i;
-      }
+      settings.probing ? AskNode(n) : Answers(n);
     }
   }
   void AskNode(Node* n) {
@@ -674,29 +649,17 @@
 
   // --- Discovery ----------------------------------------------------------------------------------------
   void Ask() {
-    if (!settings.ask_discovery) return;
-    if ((!subscribed && !asked && now >= ask_at) || now - std::max(heard_at, asked_at) > Patience()) {
-      out.push_back(Subscribe{true});
-      asked = true;
-      asked_at = now;
-    }
+    if (settings.ask_discovery && list.Ask(now, Patience())) out.push_back(Subscribe{true});
   }
   Time Patience() const {
     return settings.ask_within > 0 ? std::min(kSilence, settings.ask_within / 2) : kSilence;
   }
   void On(const RosterChanged& e) {
     if (e.kind == RosterKind::kFailed) {
-      if (ask_pause == kAskFirst) Say("the node list is out of reach, asking again");
-      subscribed = asked = false;
-      ask_at = now + static_cast<Time>(static_cast<double>(ask_pause) * (0.5 + Draw()));
-      ask_pause = std::min(2 * ask_pause, kAskLast);
+      if (list.Failed(now, Draw())) Say("the node list is out of reach, asking again");
       return;
     }
-    if (e.kind != RosterKind::kCached) {
-      subscribed |= std::exchange(asked, false);
-      ask_pause = kAskFirst;
-    }
-    heard_at = now;
+    list.Heard(now, e.kind != RosterKind::kCached);
     if (e.kind != RosterKind::kDelta) {
       for (Node* n : nodes) {
         n->listed = false;
@@ -725,7 +688,7 @@
     std::ranges::copy_if(nodes, std::back_inserter(cold), [this](const Node* n) { return Cold(*n); });
     for (Node* n : nodes) {
       if (n->own.empty()) continue;
-      Leave(n, [this](const OwnChange& c) { return c.at + 2 * Lag::kMost < heard_at; });
+      Leave(n, [this](const OwnChange& c) { return c.at + 2 * Lag::kMost < list.heard_at; });
     }
     Forget();
     IndexOrNot();
@@ -856,26 +819,18 @@
     r->owed = false;
     if (!r->out) requests.Erase(e.id);
   }
-  static double UseStep(double* notes) { return std::max(kUseStep, 1 / ++*notes); }
   void On(const Noted& e) {
     Request* found = requests.Find(e.id);
     if (found == nullptr || !found->out) return;
     Request& r = *found;
     Node& n = *table.Find(r.node);
-    auto& [largest, guessed, per, notes, home] = seen[Index(r.task)];
     Book(&n, r, -1);
-    if (e.kind == NoteKind::kCoresUsed && r.task.cores > 0) {
-      per.cores += UseStep(&notes.cores) * (e.level / r.task.cores - per.cores);
-      r.use.cores = e.level;
-    } else if (e.kind == NoteKind::kMemoryUsed && r.task.memory > 0) {
-      const bool young = now - r.sent < kGrows;
-      if (!young) per.memory += UseStep(&notes.memory) * (e.level / r.task.memory - per.memory);
-      r.use.memory = young ? std::max(e.level, BookedUse(r.task).memory) : e.level;
-    } else if ((e.kind == NoteKind::kServed && e.level < kPoorService) ||
-               (e.kind == NoteKind::kNodeMemory && e.level > kPressure)) {
+    seen[Index(r.task)].Learn(e, now, &r);
+    Book(&n, r, 1);
+    if ((e.kind == NoteKind::kServed && e.level < kPoorService) ||
+        (e.kind == NoteKind::kNodeMemory && e.level > kPressure)) {
       n.poor_until = now + kPoorRest;
     }
-    Book(&n, r, 1);
   }
   void On(const Probed& e) {
     Node* n = table.Find(e.node);
@@ -891,21 +846,15 @@
   }
   // Guards against what bookings cannot show: tasks of others that use more than asked, slow cores, starts.
   void Weigh(Node* n, const Report& report) {
-    const Room booked = n->Booked(sums);
-    const auto learn = [](double seen, double expected, double* weigh) {
-      if (expected < kWeighFrom) return;
-      *weigh += kWeighStep * (std::clamp(seen / expected, kWeighLeast, kWeighMost) - *weigh);
-    };
     const auto& [value, told] = report;
-    const double expected = booked.cores / Cores(*n);
+    const Room booked = n->Booked(sums), all{Cores(*n), Memory(*n)};
     if (told[Report::kCpu]) {
-      learn(value[Report::kCpu], expected, &n->weigh.cores);
+      Correct(value[Report::kCpu], booked.cores / all.cores, &n->weigh.cores);
     } else if (settings.reports_used && told[Report::kX0]) {
-      learn(1 - value[Report::kX0] / Cores(*n), expected, &n->weigh.cores);
-    }
-    if (settings.reports_used && told[Report::kX1]) {
-      learn(1 - value[Report::kX1] / Memory(*n), booked.memory / Memory(*n), &n->weigh.memory);
+      Correct(1 - value[Report::kX0] / all.cores, booked.cores / all.cores, &n->weigh.cores);
     }
+    if (settings.reports_used && told[Report::kX1])
+      Correct(1 - value[Report::kX1] / all.memory, booked.memory / all.memory, &n->weigh.memory);
   }
   void ProbeNext() {
     if (!settings.probing || now < probe_at) return;
--- a/src/logic_state.h
+++ b/src/logic_state.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <limits>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "passbridge/scheduler.h"
@@ -20,6 +21,7 @@
 // Throws std::invalid_argument, naming the setting, where the settings cannot be worked with.
 void Check(const Settings& settings);
 
+constexpr Time kMs = 1'000'000, kSecond = 1000 * kMs;
 constexpr double kNoLimit = std::numeric_limits<double>::infinity();
 
 struct Room {
@@ -190,13 +192,73 @@
   }
 };
 
-constexpr double kUseAtFirst = 0.65;  // per unit asked, until notes tell
-
 struct Seen {  // of a class: its largest large task, use per asked unit and how many notes told of it
+  static constexpr double kUseAtFirst = 0.65;   // per unit asked, until notes tell
+  static constexpr double kUseStep = 0.02;      // a note moves the use per unit asked by this share
+  static constexpr Time kGrows = 10 * kSecond;  // memory grows for a while after a start
+
   Room largest;
   bool guessed = true;  // no task of the class was seen yet
   Room use{kUseAtFirst, kUseAtFirst}, notes{1, 1};
   NodeId home = 0;
+
+  Room Use(const Task& task) const { return {task.cores * use.cores, task.memory * use.memory}; }
+  // What a note on a task tells of the use of its class, and of the task's own.
+  void Learn(const Noted& e, Time now, Request* r) {
+    if (e.kind == NoteKind::kCoresUsed && r->task.cores > 0) {
+      use.cores += Step(&notes.cores) * (e.level / r->task.cores - use.cores);
+      r->use.cores = e.level;
+    } else if (e.kind == NoteKind::kMemoryUsed && r->task.memory > 0) {
+      const bool young = now - r->sent < kGrows;
+      if (!young) use.memory += Step(&notes.memory) * (e.level / r->task.memory - use.memory);
+      r->use.memory = young ? std::max(e.level, Use(r->task).memory) : e.level;
+    }
+  }
+
+ private:
+  static double Step(double* count) { return std::max(kUseStep, 1 / ++*count); }
+};
+
+// Moves the weight of what a node's bookings say towards what its report says. Small loads tell little.
+inline void Correct(double seen, double expected, double* weigh) {
+  constexpr double kStep = 0.5, kLeast = 0.8, kMost = 3, kFrom = 0.1;
+  if (expected >= kFrom) *weigh += kStep * (std::clamp(seen / expected, kLeast, kMost) - *weigh);
+}
+
+// The subscription to the node list: when it is asked for, and again.
+struct Subscription {
+  static constexpr Time kAskFirst = 200 * kMs, kAskLast = 2 * kSecond;  // pause after a failed call, doubling
+
+  bool subscribed = false, asked = false;
+  Time asked_at = 0, ask_at = 0, heard_at = 0, pause = kAskFirst;
+
+  // Whether it is to be asked for now: not yet, or silent for longer than `patience`.
+  bool Ask(Time now, Time patience) {
+    const bool due = !subscribed && !asked && now >= ask_at;
+    if (!due && now - std::max(heard_at, asked_at) <= patience) return false;
+    asked = true;
+    asked_at = now;
+    return true;
+  }
+  // `chance` from 0 to 1. Whether it is the first failure in a row.
+  bool Failed(Time now, double chance) {
+    const bool first = pause == kAskFirst;
+    subscribed = asked = false;
+    ask_at = now + static_cast<Time>(static_cast<double>(pause) * (0.5 + chance));
+    pause = std::min(2 * pause, kAskLast);
+    return first;
+  }
+  void Heard(Time now, bool live) {
+    heard_at = now;
+    if (!live) return;
+    subscribed |= std::exchange(asked, false);
+    pause = kAskFirst;
+  }
+  Time Next(Time now, Time patience) const {
+    constexpr Time kNever = std::numeric_limits<Time>::max();
+    const Time again = asked_at + patience + kMs;
+    return std::min(!subscribed && !asked ? ask_at : kNever, again > now ? again : kNever);
+  }
 };
 
 // How far the list lags behind, learned among kSteps of kStep: each change of a node's free room is compared
