Follow a written plan when a site is lost; keep ends said before a hand-over

Need: a lost hall was met node by node, and whoever asked first filled the rest.

Change: src/ends/stray_ends keeps such ends for 15 s, 4,096 at most, by node and task; who is handed the task tells its owner at once. src/sites, free of I/O: the watch (up, suspect, lost, returning; one's own cut told apart), the admission by ranks with hysteresis, the pace of returns, the plan's file with exact errors, the drill.

Sites on and off have not been measured side by side yet.

--- a/include/passbridge/scheduler.h
+++ b/include/passbridge/scheduler.h
@@ -186,8 +186,9 @@
   int author = 0;
   std::string body;
 };
+struct SitesChanged {};  // the site plan says something else than before
 using Event = std::variant<RosterChanged, TaskArrived, TaskFound, Placed, AttemptEnded, Withdrawn, Noted,
-                           Probed, TimerFired, PeerSaid>;
+                           Probed, TimerFired, PeerSaid, SitesChanged>;
 
 // Actions.
 struct Offer {
@@ -233,6 +234,22 @@
 using Action = std::variant<Offer, Retract, Refuse, Fail, Move, Probe, CloseIdle, Subscribe, FetchRoster,
                             SetTimer, Tell, Log>;
 
+// What an installation that plans for the loss of sites is asked before a task is placed; a site is a zone.
+class SitePlan {
+ public:
+  virtual bool Lost(int zone) const = 0;
+  virtual bool MaySend(int zone, bool unsafe) const = 0;
+  virtual void Sent(int zone, const Task& task, Time now) = 0;
+  // The place of new work in the order in which it is kept; counted as asked for.
+  virtual int RankOf(const Task& task, bool over_share, bool large, Time now) = 0;
+  virtual bool Admits(int rank, const Task& task) const = 0;
+  virtual bool RefusesTied(int class_index) const = 0;  // what only a lost site may have any more
+  virtual Time StayAway(int rank, const Task& task) const = 0;
+
+ protected:
+  ~SitePlan() = default;
+};
+
 class Scheduler {
  public:
   // Throws std::invalid_argument, naming the setting, where the settings cannot be worked with.
@@ -241,6 +258,8 @@
   Scheduler(Scheduler&&) noexcept;
   Scheduler& operator=(Scheduler&&) noexcept;
 
+  // From now on; null: none, as at the start. It outlives the scheduler.
+  void Follow(SitePlan* plan);
   // Events come in order, the clock never goes back. The actions are to be carried out as they stand; they
   // are good until the next call.
   const std::vector<Action>& Handle(const Event& event, Time now);
--- a/src/agents/pool.cpp
+++ b/src/agents/pool.cpp
@@ -261,9 +261,16 @@
   if (Needed(*peer) && peer->lines.empty() && peer->redial == 0) Dial(node, peer);
 }
 
-void Pool::Probe(NodeId node) {
+void Pool::Ask(NodeId node) {
+  if (std::ranges::any_of(peers_[node].tests, [](const Testing& t) { return t.asker == Asker::kSites; }))
+    return;
+  ++counters.site_questions;
+  Test(node, Asker::kSites);
+}
+
+void Pool::Test(NodeId node, Asker asker) {
   Peer& peer = peers_[node];
-  Testing* test = StartTest(node, &peer, false);
+  Testing* test = StartTest(node, &peer, asker);
   Line* best = Best(peer);
   if (best != nullptr && !best->doubted) {
     SendTest(test, best);
@@ -272,18 +279,20 @@
   }
 }
 
-Pool::Testing* Pool::StartTest(NodeId node, Peer* peer, bool ours) {
+Pool::Testing* Pool::StartTest(NodeId node, Peer* peer, Asker asker) {
   const TaskId id = next_test_ += 2;
+  // A site whose nodes are all silent is not waited for as long as a single node is.
+  const Time patience = asker == Asker::kSites ? times_.dial : 2 * times_.dial;
   const Handle timer =
-      loop_->After(2 * times_.dial, [this, node, id] { EndTest(node, id, Outcome::kTimedOut, {}); });
-  return &peer->tests.emplace_back(Testing{id, loop_->Now(), timer, 0, ours});
+      loop_->After(patience, [this, node, id] { EndTest(node, id, Outcome::kTimedOut, {}); });
+  return &peer->tests.emplace_back(Testing{id, loop_->Now(), timer, 0, asker});
 }
 
 void Pool::AskWhetherAlive(NodeId node, Peer* peer, Line* line) {
-  if (std::ranges::any_of(peer->tests, &Testing::ours)) return;
+  if (std::ranges::any_of(peer->tests, [](const Testing& t) { return t.asker == Asker::kLife; })) return;
   ++counters.life_questions;
   peer->life.Asked(loop_->Now());
-  SendTest(StartTest(node, peer, true), line);
+  SendTest(StartTest(node, peer, Asker::kLife), line);
 }
 
 // Guards against a machine that was to leave and is switched off without a sign, while the list says so late:
@@ -351,8 +360,9 @@
     peer.life.Unanswered(test.asked);
     Doubt(node, test.line, test.asked);
   }
-  if (test.ours) return;
-  events_->OnProbed(node, outcome, loop_->Now() - test.asked, report);
+  const Time took = loop_->Now() - test.asked;
+  if (test.asker == Asker::kModule) events_->OnProbed(node, outcome, took, report);
+  if (test.asker == Asker::kSites) events_->OnAsked(node, outcome, took);
 }
 
 void Pool::CloseIdle(NodeId node) {
--- a/src/agents/pool.h
+++ b/src/agents/pool.h
@@ -38,7 +38,8 @@
   bool GiveUp(NodeId node, TaskId id) override;
   void Cut(NodeId node, TaskId id) override;
   void Stands(NodeId node, TaskId id, bool stands) override;
-  void Probe(NodeId node) override;
+  void Probe(NodeId node) override { Test(node, Asker::kModule); }
+  void Ask(NodeId node) override;
   void CloseIdle(NodeId node) override;
   void Disown(NodeId node, TaskId id) override;
   Time WordsUntil(NodeId node) override;
@@ -49,12 +50,13 @@
     Passage passage;
     Time until;
   };
+  enum class Asker { kModule, kLife, kSites };  // who wants to know whether the node answers
   struct Testing {
     TaskId id;
     Time asked;
     Handle timer;
     Handle line;  // where it was sent, 0: not yet
-    bool ours;    // asked to learn whether the node lives: the module did not ask
+    Asker asker;
   };
   struct Line {
     std::unique_ptr<Connection> connection;
@@ -103,7 +105,8 @@
   void SendSetUp(Peer* peer, Line* line, const Waiting& waiting);
   void SendTest(Testing* test, Line* line);
   void SendCut(TaskId id, Handle* sent_on, Line* line);
-  Testing* StartTest(NodeId node, Peer* peer, bool ours);
+  Testing* StartTest(NodeId node, Peer* peer, Asker asker);
+  void Test(NodeId node, Asker asker);
   void EndTest(NodeId node, TaskId id, passbridge::Outcome outcome, passbridge::Report report);
   void Doubt(NodeId node, Handle line, Time since);
   void WatchAge(Handle handle);
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "cli/sites_command.h"
 #include "lang/evaluator.h"
 #include "lang/formatter.h"
 #include "lang/parser.h"
@@ -171,9 +172,9 @@
   return kDone;
 }
 
-int ServeOrSay() {
+int ServeOrSay(const Files& files) {
   try {
-    return Serve();
+    return Serve(files);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "willowrail: %s\n", error.what());
     return 1;
@@ -183,13 +184,15 @@
 }  // namespace
 
 int Run(int count, char** words) {
-  if (count <= 1) return ServeOrSay();  // what `run` calls: nothing is set up for words that are not there
+  if (count <= 1) return ServeOrSay({});  // what `run` calls: nothing is set up for words that are not there
   CLI::App app(
       "willowrail, a cluster manager.\n\n"
       "  willowrail                      serves, by the configuration that ROUTER_CONFIG names\n"
       "  willowrail check site.willow    reads a configuration and all that it includes\n"
       "  willowrail fmt -w *.willow      writes texts in their one form\n"
-      "  willowrail explain L006         says what a code means\n\n"
+      "  willowrail explain L006         says what a code means\n"
+      "  willowrail sites drill deploy/sites.json --config n0.json --lose hall-b\n"
+      "                                  says what the loss of a site would bring about\n\n"
       "Exit status: 0 done, 1 errors in the texts, 2 a wrong call or a file that cannot be read or written.");
   app.name("willowrail");
   app.require_subcommand(1);
@@ -197,7 +200,10 @@
   std::string path, code;
   std::vector<std::string> paths;
   bool write = false, check_only = false;
-  app.add_subcommand("serve", "serve, as without a command")->callback([&] { exit = ServeOrSay(); });
+  Files files;
+  CLI::App* serve = app.add_subcommand("serve", "serve, as without a command");
+  serve->add_option("--sites", files.sites, "the plan for the loss of sites, as deploy/sites.json");
+  serve->callback([&] { exit = ServeOrSay(files); });
   CLI::App* check = app.add_subcommand("check", "read a configuration, and say all that is wrong with it");
   check->add_option("FILE", path, "its first file")->required();
   check->callback([&] { exit = Check(path); });
@@ -210,6 +216,24 @@
   CLI::App* explain = app.add_subcommand("explain", "say what a code of an error means, or list all");
   explain->add_option("CODE", code, "as L006");
   explain->callback([&] { exit = Explain(code); });
+  CLI::App* plan = app.add_subcommand("sites", "the plan for the loss of sites, without losing any");
+  plan->require_subcommand(1);
+  SitesCall call;
+  const auto takes = [&call](CLI::App* command) {
+    command->add_option("PLAN", call.plan, "as deploy/sites.json")->required();
+    command->add_option("--config", call.config, "a cluster manager's configuration: settings, known list")
+        ->required();
+    return command;
+  };
+  takes(plan->add_subcommand("check", "read a plan, and say all that is wrong with it"))->callback([&] {
+    exit = CheckSites(call);
+  });
+  CLI::App* drill = takes(plan->add_subcommand("drill", "say what a loss would bring about, by sums alone"));
+  drill->add_option("--lose", call.lose, "the sites to be lost")->required();
+  drill->add_option("--list", call.list, "the list of nodes, as the bulletin tells it; else the known one");
+  drill->add_option("--mix", call.mix, "CLASS=SHARE of the cores asked for; else all classes alike");
+  drill->add_flag("--json", call.json, "as JSON");
+  drill->callback([&] { exit = DrillSites(call); });
   app.add_subcommand("version", "print the version")->callback([] {
     std::puts("willowrail " WILLOWRAIL_VERSION);
   });
--- /dev/null
+++ b/src/cli/sites_command.cpp
@@ -0,0 +1,170 @@
+#include "cli/sites_command.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "config/config.h"
+#include "sites/drill.h"
+#include "sites/plan.h"
+
+namespace willowrail::cli {
+namespace {
+
+using nlohmann::json;
+
+struct BadCall : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+json ReadJson(const std::string& path) {
+  std::ifstream in(path);
+  if (!in) throw BadCall(path + ": cannot be read");
+  try {
+    return json::parse(in);
+  } catch (const json::parse_error& error) {
+    throw BadCall(path + ": byte " + std::to_string(error.byte) + ": is no JSON");
+  }
+}
+
+// The last that was told of each node, by uid: a list is events of the bulletin, one of them, or its targets.
+std::map<std::string, json> Targets(const json& list, const std::string& path) {
+  std::map<std::string, json> targets;
+  const json* items = &list;
+  if (list.contains("items")) items = &list["items"];
+  const auto take = [&](const json& all) {
+    for (const json& target : all) {
+      if (!target.is_object() || !target.contains("uid") || !target.contains("az"))
+        throw BadCall(path + ": a target without \"uid\" and \"az\": " + target.dump());
+      targets[target["uid"]] = target;
+    }
+  };
+  const auto event = [&](const json& each) {
+    const json& roster = each.contains("roster") ? each["roster"] : each;
+    if (!roster.is_object() || !roster.contains("targets"))
+      throw BadCall(path + ": neither events of the bulletin nor targets");
+    if (roster.value("all", false)) targets.clear();
+    take(roster["targets"]);
+  };
+  if (items->is_array() && !items->empty() && items->front().contains("uid")) {
+    take(*items);
+  } else if (items->is_array()) {
+    for (const json& each : *items) event(each);
+  } else {
+    event(*items);
+  }
+  return targets;
+}
+
+int NumberOf(const std::vector<std::string>& names, const std::string& name) {
+  const auto it = std::ranges::find(names, name);
+  return it == names.end() ? -1 : static_cast<int>(it - names.begin());
+}
+
+std::string Listed(const std::vector<std::string>& names) {
+  std::string text;
+  for (const std::string& name : names) text += (text.empty() ? "" : ", ") + name;
+  return text;
+}
+
+struct Read {
+  Config config;
+  sites::Deployment deployment;
+  json known;
+};
+
+Read ReadConfigFile(const std::string& path) {
+  const json file = ReadJson(path);
+  Read read;
+  try {
+    read.config = ReadConfig(file);
+  } catch (const std::exception& error) {
+    throw BadCall(path + ": " + error.what());
+  }
+  read.deployment = sites::DeploymentOf(read.config.settings, read.config.zones);
+  read.known = read.config.known;
+  return read;
+}
+
+template <typename Work>
+int Run(Work work) {
+  try {
+    return work();
+  } catch (const BadCall& error) {
+    std::fprintf(stderr, "%s\n", error.what());
+    return 2;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "%s\n", error.what());
+    return 1;
+  }
+}
+
+}  // namespace
+
+int CheckSites(const SitesCall& call) {
+  return Run([&] {
+    const Read read = ReadConfigFile(call.config);
+    const sites::Plan plan = sites::LoadPlan(call.plan, read.deployment);
+    std::printf("%s: good; %d ranks, %zu sites\n", call.plan.c_str(), plan.ranks(),
+                read.deployment.sites.size());
+    return 0;
+  });
+}
+
+int DrillSites(const SitesCall& call) {
+  return Run([&] {
+    const Read read = ReadConfigFile(call.config);
+    const sites::Plan plan = sites::LoadPlan(call.plan, read.deployment);
+    const passbridge::Settings& settings = read.config.settings;
+    const std::string from = call.list.empty() ? call.config : call.list;
+    std::vector<sites::DrillNode> nodes;
+    for (const auto& [uid, target] : Targets(call.list.empty() ? read.known : ReadJson(call.list), from)) {
+      sites::DrillNode node;
+      node.site = NumberOf(read.deployment.sites, target.value("az", ""));
+      if (node.site < 0)
+        throw BadCall(from + ": " + uid + " stands in " + target["az"].dump() +
+                      ", which the settings do not name: " + Listed(read.deployment.sites));
+      const int kind = std::max(0, NumberOf(read.config.kinds, target.value("model", "")));
+      node.cores = settings.kind_cores.at(static_cast<std::size_t>(kind));
+      node.memory = settings.kind_memory.at(static_cast<std::size_t>(kind));
+      const json free = target.value("unasked", json::array({node.cores, node.memory}));
+      node.free_cores = free.at(0);
+      node.free_memory = free.at(1);
+      node.in_service = target.value("state", "in_service") == "in_service";
+      nodes.push_back(node);
+    }
+    std::vector<int> lose;
+    for (const std::string& name : call.lose) {
+      lose.push_back(NumberOf(read.deployment.sites, name));
+      if (lose.back() < 0)
+        throw BadCall("--lose " + name +
+                      ": there is no such site, the settings name: " + Listed(read.deployment.sites));
+    }
+    sites::DrillTerms terms;
+    for (const std::string& each : call.mix) {
+      const std::size_t equals = each.find('=');
+      double share = -1;
+      if (equals != std::string::npos)
+        std::from_chars(each.data() + equals + 1, each.data() + each.size(), share);
+      const std::string name = each.substr(0, equals);
+      if (share < 0 || NumberOf(read.deployment.classes, name) < 0)
+        throw BadCall("--mix " + each +
+                      ": write CLASS=SHARE, with a class of: " + Listed(read.deployment.classes));
+      terms.mix[name] = share;
+    }
+    terms.patience = read.config.dial_timeout;
+    terms.cold = settings.cold;
+    terms.fall = settings.fall;
+    terms.cold_sends = settings.cold_sends;
+    const sites::Drill drill = sites::Rehearse(plan, read.deployment, nodes, lose, terms);
+    const std::string text = call.json ? sites::AsJson(drill).dump(2) + "\n" : sites::AsTable(drill);
+    std::fputs(text.c_str(), stdout);
+    return drill.broken.empty() ? 0 : 1;
+  });
+}
+
+}  // namespace willowrail::cli
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -33,7 +33,10 @@
 }
 
 Engine::Engine(Loop* loop, passbridge::Settings settings, std::uint64_t seed)
-    : loop_(loop), module_(std::move(settings), seed) {}
+    : loop_(loop),
+      kind_cores_(settings.kind_cores),
+      kind_memory_(settings.kind_memory),
+      module_(std::move(settings), seed) {}
 
 void Engine::Connect(Owners* owners, Agents* agents, Directory* directory) {
   owners_ = owners;
@@ -41,6 +44,31 @@
   directory_ = directory;
 }
 
+void Engine::Follow(sites::Sites* sites) {
+  sites_ = sites;
+  module_.Follow(sites);
+  LookAtSites();
+}
+
+// While sites are as usual this is a look at the evidence of each node, and nothing else.
+void Engine::LookAtSites() {
+  const Time now = loop_->Now();
+  int waiting = 0;
+  if (sites_->in_force()) {
+    requests_.ForEach([&](Handle, const Request& r) {
+      waiting += r.owed && !r.out && now - r.sent > sites::Sites::kWaits;
+    });
+  }
+  const sites::Sites::Orders orders = sites_->Look(waiting, now);
+  for (const std::string& line : orders.log) Log("%s", line.c_str());
+  for (const NodeId node : orders.ask) {
+    sites_->Asked(node, now);
+    agents_->Ask(node);
+  }
+  if (orders.changed) Post(passbridge::SitesChanged{});
+  loop_->After(sites::Sites::kLook, [this] { LookAtSites(); });
+}
+
 Engine::Request* Engine::Find(TaskId id) {
   const auto it = by_id_.find(id);
   return it == by_id_.end() ? nullptr : requests_.Get(it->second);
@@ -83,6 +111,8 @@
   request.deadline = s.task.deadline;
   request.owed = !s.at;
   request.sent = loop_->Now();
+  request.cores = s.task.cores;
+  request.memory = s.task.memory;
   if (s.at) {
     request.out = request.standing = true;
     request.attempts = 1;
@@ -93,7 +123,17 @@
   s.task.id = handle;
   if (s.at) {
     agents_->Stands(*s.at, s.id, true);
+    const Handle origin = s.origin;
     Post(passbridge::TaskFound{s.task, *s.at});
+    // Guards against waiting for a word that its node has spent already, on whoever was there to hear it.
+    const StrayEnds::Said said = stray_ends_.Take(*s.at, s.id, loop_->Now());
+    Request* r = requests_.Get(handle);
+    if (said != StrayEnds::Said::kNothing && r != nullptr) {
+      ++counters.ends_known_before;
+      r->origin = origin;
+      FinishStanding(handle, r, said == StrayEnds::Said::kEnded ? Outcome::kOk : Outcome::kAborted,
+                     Reason::kUntold, true);
+    }
   } else {
     ++owed_;
     Post(passbridge::TaskArrived{s.task});
@@ -131,6 +171,7 @@
 
 // --- What agents say -------------------------------------------------------------------------------------
 void Engine::OnAnswer(NodeId node, TaskId id, std::string_view description) {
+  if (sites_ != nullptr) sites_->Answered(node, loop_->Now());
   Request* r = Find(id);
   if (r == nullptr || !r->out || r->standing || r->node != node) {  // of an attempt that was given up
     ++counters.agent_stray;
@@ -138,6 +179,7 @@
   }
   const Handle handle = by_id_.at(id);
   ++counters.agent_answers;
+  if (sites_ != nullptr) sites_->AttemptOver(node, true);
   loop_->TakeDown(r->timer);
   r->standing = true;
   Unowe(r);
@@ -148,8 +190,21 @@
 
 void Engine::OnEnd(NodeId node, TaskId id, const AgentSays& says) {
   Request* r = Find(id);
+  if (sites_ != nullptr) {
+    const bool its = r != nullptr && r->out && r->node == node;
+    if (its && !r->standing && says.outcome == Outcome::kNoConnection) {
+      sites_->Unanswered(node, r->sent);
+    } else if (its && !r->standing && says.outcome != Outcome::kAborted) {
+      sites_->Answered(node, loop_->Now());
+    } else if (says.standing != Outcome::kAborted) {
+      sites_->Spoke(node, loop_->Now());
+    }
+    if (its && !r->standing) sites_->AttemptOver(node, says.outcome == Outcome::kRefused);
+  }
   if (r == nullptr || !r->out || r->node != node) {
     ++counters.agent_stray;
+    const bool stood = says.standing == Outcome::kOk || says.standing == Outcome::kAborted;
+    if (r == nullptr && stood) stray_ends_.Note(node, id, says.standing == Outcome::kOk, loop_->Now());
     return;
   }
   const Handle handle = by_id_.at(id);
@@ -173,15 +228,26 @@
 
 void Engine::OnNote(NodeId node, TaskId id, passbridge::NoteKind kind, double level) {
   const Request* r = Find(id);
+  if (sites_ != nullptr) sites_->Spoke(node, loop_->Now());
   if (r == nullptr || !r->out || r->node != node) return;
   Post(passbridge::Noted{by_id_.at(id), r->attempts - 1, node, kind, level});
 }
 
 void Engine::OnProbed(NodeId node, Outcome outcome, Time took, passbridge::Report report) {
+  OnAsked(node, outcome, took);
   Post(passbridge::Probed{node, outcome, took, report});
 }
 
-void Engine::OnDead(NodeId node) { LoseTasks(node, kForever); }
+void Engine::OnAsked(NodeId node, Outcome outcome, Time took) {
+  if (sites_ == nullptr) return;
+  const Time now = loop_->Now();
+  outcome == Outcome::kOk ? sites_->Answered(node, now) : sites_->Unanswered(node, now - took);
+}
+
+void Engine::OnDead(NodeId node) {
+  if (sites_ != nullptr) sites_->Unanswered(node, loop_->Now());
+  LoseTasks(node, kForever);
+}
 
 void Engine::OnStopped(NodeId node) {
   const std::size_t lost = LoseTasks(node, kForever, true);
@@ -196,6 +262,12 @@
   for (const ListedNode& node : nodes) {
     entries->push_back(node.entry);
     agents_->Know(node);
+    if (sites_ != nullptr) {
+      const std::size_t kind = std::min<std::size_t>(node.entry.kind, kind_cores_.size() - 1);
+      sites_->Listed(node.entry.node, node.entry.zone, node.entry.state == passbridge::NodeState::kReady,
+                     {kind_cores_[kind], kind_memory_[kind], node.entry.free_cores, node.entry.free_memory},
+                     loop_->Now());
+    }
     Listed& listed = listed_[node.entry.node];
     listed.gone = node.entry.state == passbridge::NodeState::kGone;
     // Guards against a process that died and came up again between two dials: its new life holds nothing.
@@ -252,9 +324,15 @@
       GiveUp(handle, late, Outcome::kTimedOut);
     }
   });
+  if (sites_ != nullptr) sites_->Asked(a.node, r->sent);
   agents_->Offer(a.node, r->id, r->passage, until);
 }
 
+void Engine::Do(const passbridge::Probe& a) {
+  if (sites_ != nullptr) sites_->Asked(a.node, loop_->Now());
+  agents_->Probe(a.node);
+}
+
 void Engine::Do(const passbridge::Retract& a) {
   Request* r = ByName(a.id);
   if (r == nullptr || !r->out || r->standing || a.attempt != r->attempts - 1) return;
@@ -305,6 +383,10 @@
 void Engine::GiveUp(Handle handle, Request* r, Outcome outcome) {
   const bool sent = agents_->GiveUp(r->node, r->id);
   if ((r = requests_.Get(handle)) == nullptr || !r->out) return;  // ended by what that brought about
+  if (sites_ != nullptr && outcome == Outcome::kTimedOut) {
+    sites_->Unanswered(r->node, r->sent);
+    sites_->AttemptOver(r->node, false);
+  }
   EndAttempt(handle, r, sent ? outcome : Outcome::kNotSent, Reason::kUntold, {});
 }
 
@@ -337,6 +419,7 @@
 
 void Engine::FinishStanding(Handle handle, Request* r, Outcome outcome, Reason reason, bool tell) {
   agents_->Stands(r->node, r->id, false);
+  if (sites_ != nullptr) sites_->TaskOver(r->cores, r->memory, loop_->Now());
   if (tell) owners_->Release(r->origin, r->id, outcome == Outcome::kOk ? Over::kEnded : Over::kCut);
   EndAttempt(handle, r, outcome, reason, {});
 }
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -6,9 +6,11 @@
 #include <unordered_map>
 #include <vector>
 
+#include "ends/stray_ends.h"
 #include "engine/ports.h"
 #include "net/loop.h"
 #include "passbridge/scheduler.h"
+#include "sites/sites.h"
 #include "structures/hash.h"
 #include "structures/slot_table.h"
 
@@ -18,6 +20,8 @@
  public:
   Engine(Loop* loop, passbridge::Settings settings, std::uint64_t seed);
   void Connect(Owners* owners, Agents* agents, Directory* directory);
+  // Feeds the plan for lost sites, and lets the module ask it. It outlives the engine.
+  void Follow(sites::Sites* sites);
 
   std::size_t owed() const { return owed_; }  // requests without a final answer
   std::size_t nodes() const { return listed_.size(); }
@@ -31,6 +35,7 @@
   void OnEnd(NodeId node, TaskId id, const AgentSays& says) override;
   void OnNote(NodeId node, TaskId id, passbridge::NoteKind kind, double level) override;
   void OnProbed(NodeId node, passbridge::Outcome outcome, Time took, passbridge::Report report) override;
+  void OnAsked(NodeId node, passbridge::Outcome outcome, Time took) override;
   void OnDead(NodeId node) override;
   void OnStopped(NodeId node) override;
   void OnRoster(passbridge::RosterKind kind, std::int64_t version,
@@ -49,6 +54,7 @@
     NodeId node = 0;
     Time sent = 0;
     Handle timer = 0;
+    double cores = 0, memory = 0;
   };
   struct Listed {
     Time came_up = 0;
@@ -64,7 +70,7 @@
   void Do(const passbridge::Refuse& action);
   void Do(const passbridge::Fail& action);
   void Do(const passbridge::Move& action);
-  void Do(const passbridge::Probe& action) { agents_->Probe(action.node); }
+  void Do(const passbridge::Probe& action);
   void Do(const passbridge::CloseIdle& action) { agents_->CloseIdle(action.node); }
   void Do(const passbridge::Subscribe& action) { directory_->Subscribe(action.active); }
   void Do(const passbridge::FetchRoster&) { directory_->Fetch(); }
@@ -84,9 +90,12 @@
   // Returns how many there were; `disown`: nobody has said that they are over.
   std::size_t LoseTasks(NodeId node, Time sent_before, bool disown = false);
   void Erase(Handle handle, Request* r);
+  void LookAtSites();
 
   Loop* loop_;
+  const std::vector<double> kind_cores_, kind_memory_;
   passbridge::Scheduler module_;
+  sites::Sites* sites_ = nullptr;  // null: no plan for lost sites is followed
   Owners* owners_ = nullptr;
   Agents* agents_ = nullptr;
   Directory* directory_ = nullptr;
@@ -94,6 +103,7 @@
   NumberMap<TaskId, Handle> by_id_;
   std::unordered_map<NodeId, Listed> listed_;
   std::size_t owed_ = 0;
+  StrayEnds stray_ends_;
   std::vector<passbridge::Event> events_;  // that wait until the actions at hand are carried out
   bool handling_ = false;
 };
--- a/src/engine/ports.h
+++ b/src/engine/ports.h
@@ -68,6 +68,7 @@
   // A task stands there, or (false) no more: a way stays open to agents where any does.
   virtual void Stands(NodeId node, TaskId id, bool stands) = 0;
   virtual void Probe(NodeId node) = 0;
+  virtual void Ask(NodeId node) = 0;  // a test whose outcome the plan for lost sites wants to know
   virtual void CloseIdle(NodeId node) = 0;
   // A task that was taken for over while nothing was heard of the node: cut there if it is heard again.
   virtual void Disown(NodeId node, TaskId id) = 0;
@@ -114,6 +115,7 @@
   virtual void OnEnd(NodeId node, TaskId id, const AgentSays& says) = 0;
   virtual void OnNote(NodeId node, TaskId id, passbridge::NoteKind kind, double level) = 0;
   virtual void OnProbed(NodeId node, passbridge::Outcome outcome, Time took, passbridge::Report report) = 0;
+  virtual void OnAsked(NodeId node, passbridge::Outcome outcome, Time took) = 0;
   virtual void OnDead(NodeId node) = 0;  // its process is gone, and all that stood there
   // It was to leave and has been silent for too long: what stood there is taken for over.
   virtual void OnStopped(NodeId node) = 0;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -103,6 +103,7 @@
   double mean_answer = 0, mean_level = 0;  // nanoseconds; asked cores over cores, of all nodes
   int said = 0;
   bool begun = false, probed = false;
+  SitePlan* sites = nullptr;  // the plan for lost ones, where there is one
   Subscription list;
   Lag lag;  // of the list
 
@@ -271,6 +272,7 @@
     ++looked;
     const ClassSettings& c = ClassOf(r.task);
     if (!n->listed || n->entry.state != NodeState::kReady) return false;  // rule 3
+    if (sites != nullptr && !sites->MaySend(n->entry.zone, c.effect == Effect::kUnsafe)) return false;
     if (c.kind >= 0 && c.kind != n->entry.kind) return false;
     if (n->strikes > 0) return false;
     if (n->TurnsAway(r.task, now)) return false;
@@ -534,13 +536,25 @@
   void Answer(Request* r) {  // rule 1: the one final answer where no task was placed
     if (!std::exchange(r->owed, false)) return;
     held.erase(r->task.id);
-    const Time away = std::min(kViewAge, settings.most_away);  // by then the list shows what is free now
+    // By then the list shows what is free now; where less is taken than is asked, the plan spreads who
+    // returns.
+    const Time away = std::min(Spared(*r) ? sites->StayAway(r->rank, r->task) : kViewAge, settings.most_away);
     out.push_back(MayRefuse(*r) ? Action(Refuse{r->task.id, away}) : Action(Fail{r->task.id}));
     if (!r->out) requests.Erase(r->task.id);
   }
+  // Where sites are lost: new work that the plan does not take now, and what only a lost site may still have.
+  bool Spared(const Request& r) const {
+    return sites != nullptr && r.attempts == 0 && !sites->Admits(r.rank, r.task);
+  }
+  bool Tied(const Request& r) const {
+    if (sites == nullptr || !r.may_have_run || !sites->RefusesTied(r.task.class_index)) return false;
+    const ClassSettings& c = ClassOf(r.task);
+    return c.effect == Effect::kKeyed && c.group != Place::kAll &&
+           sites->Lost(table.Find(r.first_node)->entry.zone);
+  }
   // Offers the task where it fits, holds it where it fits nowhere, answers where nothing more can come.
   void Place(Request* r) {
-    if (Stuck(*r) || r->attempts >= settings.max_tries || now >= AnswerBy(*r)) {
+    if (Stuck(*r) || r->attempts >= settings.max_tries || now >= AnswerBy(*r) || Spared(*r) || Tied(*r)) {
       Answer(r);
       return;
     }
@@ -563,6 +577,7 @@
     Book(&n, *r, 1);
     Enter(&n, r->task.id, 1, r->task);
     if (Cold(n)) n.cold_sends.push_back(now);
+    if (sites != nullptr) sites->Sent(n.entry.zone, r->task, now);
     OnNode& on = services.At(r->task.service, *id);
     n.start_queue += r->start_work = HasProgram(on) ? 1 : kColdStart;
     ++on.out;
@@ -719,6 +734,7 @@
     r.task = e.task;
     NoteSize(r.task);
     due.emplace(AnswerBy(r), e.task.id);
+    if (sites != nullptr) r.rank = sites->RankOf(r.task, OverShare(r.task), Large(r.task), now);
     Place(&r);
     arrivals.Note(now);
   }
@@ -869,6 +885,17 @@
       return;
     }
   }
+  // What is out in a lost site and may run elsewhere is not waited for; what waits is looked at again.
+  void On(const SitesChanged&) {
+    requests.ForEach([this](const Request& r) {
+      if (sites == nullptr || !r.out || r.placed || !sites->Lost(table.Find(r.node)->entry.zone)) return;
+      const ClassSettings& c = ClassOf(r.task);
+      const bool elsewhere =
+          c.effect == Effect::kSafe || (c.effect == Effect::kKeyed && c.group == Place::kAll);
+      if (elsewhere && r.attempts < settings.max_tries) out.push_back(Retract{r.task.id, r.attempts - 1});
+    });
+    next_wake = now;
+  }
   void On(const auto&) {}  // timers only wake; peers say nothing: schedulers decide alike without talking
 };
 
@@ -891,6 +918,7 @@
   for (const RatioIndex& each : state_->index) all += each.looked();
   return all;
 }
+void Scheduler::Follow(SitePlan* plan) { state_->sites = plan; }
 bool Scheduler::Holds(RequestId id) const { return state_->requests.Find(id) != nullptr; }
 Scheduler::Scheduler(Scheduler&&) noexcept = default;
 Scheduler& Scheduler::operator=(Scheduler&&) noexcept = default;
--- a/src/logic_state.h
+++ b/src/logic_state.h
@@ -121,6 +121,7 @@
   Time sent = 0, first_sent = 0;
   Room use;               // booked at its node
   double start_work = 0;  // counted in its node's start queue
+  int rank = 0;           // of the site plan
   std::vector<NodeId> failed_on;
 };
 
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -32,6 +32,8 @@
   X(owner_releases) \
   X(owner_closed_open) \
   X(owner_heard) \
+  X(site_questions) \
+  X(ends_known_before) \
   X(answers_sent) \
   X(refusals_sent) \
   X(failures_sent) \
--- a/src/roles/serve.cpp
+++ b/src/roles/serve.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <exception>
 #include <functional>
+#include <optional>
 #include <utility>
 
 #include "agents/pool.h"
@@ -15,6 +16,8 @@
 #include "net/loop.h"
 #include "net/sys.h"
 #include "proto/message.h"
+#include "sites/plan.h"
+#include "sites/sites.h"
 #include "structures/block_pool.h"
 #include "structures/hash.h"
 
@@ -32,7 +35,7 @@
 
 }  // namespace
 
-int Serve() {
+int Serve(const Files& files) {
   const Config config = ConfigFromEnvironment();
   hash_seed = config.seed;
   Loop loop;
@@ -41,6 +44,13 @@
   BulletinReader bulletin(&loop, config, &engine);
   Front front(&loop, config, &engine);
   engine.Connect(&front, &pool, &bulletin);
+  std::optional<sites::Sites> sites;
+  const sites::Deployment deployment = sites::DeploymentOf(config.settings, config.zones);
+  if (!files.sites.empty()) {
+    sites.emplace(sites::LoadPlan(files.sites, deployment), deployment);
+    engine.Follow(&*sites);
+    Log("sites: the plan of %s is followed", files.sites.c_str());
+  }
   bulletin.TellKnown(config.known);
   Log("%s listens on %s", config.name.c_str(), AddressText(front.address()).c_str());
 
@@ -72,6 +82,13 @@
     } catch (const std::exception& error) {
       Log("configuration not read again: %s", error.what());
     }
+    if (!sites) return;
+    try {  // whole or not at all
+      sites->Take(sites::LoadPlan(files.sites, deployment));
+      Log("sites: the plan of %s is followed from now on", files.sites.c_str());
+    } catch (const std::exception& error) {
+      Log("sites: the plan was not read again, the one before goes on:\n%s", error.what());
+    }
   };
   loop.OnSignal(SIGHUP, reload);
   loop.OnSignal(SIGTERM, drain);
@@ -88,6 +105,9 @@
         {"roster", bulletin.size()}, {"agents", pool.size()},         {"agent_lines", pool.lines()},
         {"agent_open", pool.open()}, {"blocks", Blocks().live()},     {"deadlines", loop.deadlines()}};
     for (const auto& [name, size] : sizes) std::fprintf(stderr, "size %s %zu\n", name, size);
+    if (sites) {
+      for (const std::string& line : sites->Describe(loop.Now())) std::fprintf(stderr, "%s\n", line.c_str());
+    }
     std::fflush(stderr);
   };
   loop.OnSignal(SIGUSR1, print);
--- a/src/roles/serve.h
+++ b/src/roles/serve.h
@@ -2,10 +2,16 @@
 // it.
 #pragma once
 
+#include <string>
+
 namespace willowrail {
 
+struct Files {        // of the operators; empty: none
+  std::string sites;  // the plan for lost sites
+};
+
 // Serves until SIGTERM has settled all; returns the exit status. Throws std::exception, saying what is wrong,
 // where it cannot begin.
-int Serve();
+int Serve(const Files& files);
 
 }  // namespace willowrail
--- a/src/structures/decaying_rate.h
+++ b/src/structures/decaying_rate.h
@@ -16,8 +16,8 @@
   double PerSecond(std::int64_t now) const {
     return count_ * std::exp(static_cast<double>(at_ - now) / over_) / over_ * kSecond;
   }
-  void Note(std::int64_t now) {
-    count_ = PerSecond(now) * over_ / kSecond + 1;
+  void Note(std::int64_t now, double amount = 1) {
+    count_ = PerSecond(now) * over_ / kSecond + amount;
     at_ = now;
   }
 
--- a/tests/owed_ends_test.cpp
+++ b/tests/owed_ends_test.cpp
@@ -6,6 +6,8 @@
 #include <random>
 #include <set>
 
+#include "ends/stray_ends.h"
+
 namespace willowrail {
 namespace {
 
@@ -76,6 +78,22 @@
   CHECK(ends.size() == 0);
 }
 
+TEST_CASE(
+    "an end that nobody waited for is kept for who is handed the task next, for a while and within bounds") {
+  StrayEnds strays;
+  strays.Note(1, 77, true, kNow);
+  strays.Note(1, 78, false, kNow);
+  CHECK(strays.Take(2, 77, kNow + kMs) == StrayEnds::Said::kNothing);  // of another node
+  CHECK(strays.Take(1, 77, kNow + kMs) == StrayEnds::Said::kEnded);
+  CHECK(strays.Take(1, 77, kNow + kMs) == StrayEnds::Said::kNothing);
+  CHECK(strays.Take(1, 78, kNow + StrayEnds::kKept) == StrayEnds::Said::kNothing);
+  for (std::uint64_t task = 1; task <= 2 * StrayEnds::kMost; ++task) strays.Note(1, task, true, kNow + kMs);
+  CHECK(strays.size() == StrayEnds::kMost);
+  CHECK(strays.Take(1, 2 * StrayEnds::kMost, kNow + kMs) == StrayEnds::Said::kEnded);
+  strays.Note(1, 5, true, kNow + 2 * StrayEnds::kKept);
+  CHECK(strays.size() == 1);
+}
+
 TEST_CASE_FIXTURE(Table, "an end that has not left the process is neither believed read nor sent elsewhere") {
   Owe(1);
   Owe(2, kNow + 1);
