Count own ends beside own binds in what the site plan may still give out

Sites::Free took off all own binds of the last 1.5 s and gave nothing back for the tasks that ended meanwhile, so a cluster manager with a steady load had no room on paper; load, list and reserve were as they should be.

Change: ends go into the same flow with the other sign. The judge takes what the list calls gone for over.

--- a/src/sites/sites.cpp
+++ b/src/sites/sites.cpp
@@ -50,7 +50,11 @@
   if (it != nodes_.end()) sites_[static_cast<std::size_t>(it->second.site)].comeback.Started(started);
 }
 
-void Sites::TaskOver(double cores, double memory, Time now) { admission_.Ended({cores, memory}, now); }
+void Sites::TaskOver(double cores, double memory, Time now) {
+  admission_.Ended({cores, memory}, now);
+  bound_.cores.Note(now, -cores);  // the list shows that as late as it shows a bind
+  bound_.memory.Note(now, -memory);
+}
 
 // What this cluster manager may still bind: of all that the usable sites can take less the reserve and what
 // was bound since the list was made, the part that is left to each where all do the same.
--- a/src/sites/sites.h
+++ b/src/sites/sites.h
@@ -90,7 +90,7 @@
   Admission admission_;
   std::vector<Site> sites_;
   NumberMap<NodeId, Node> nodes_;
-  Flow bound_;  // own binds that the list does not show yet
+  Flow bound_;  // own binds less own ends, as far as the list does not show them yet
   bool in_force_ = false, was_cut_off_ = false;
   int told_level_ = -1;
 };
--- a/tests/judge_test.cpp
+++ b/tests/judge_test.cpp
@@ -278,6 +278,10 @@
     End("a1", 2800, "over");
     CHECK(Rules() == Expected{"told too early"});
   }
+  SUBCASE("the list had called its node gone") {
+    Say(1900, "list", "told", {{"uid", "s-1"}, {"node", "n1"}, {"state", "terminated"}});
+    CHECK(Rules().empty());
+  }
   SUBCASE("it is cut for it at once") {
     End("a1", 2010, "cut");
     CHECK(Rules().empty());
