Take the counting rig's rooms from the folders under src

Seen: the path check ended with KeyError 'ends', since its list of rooms had not followed the new ones and an allocation fell there.

--- a/bench/rig.py
+++ b/bench/rig.py
@@ -220,8 +220,7 @@
 
 CALLS = ["recv", "send", "epoll_wait", "epoll_ctl", "connect", "socket", "accept", "close", "shutdown", "setsockopt",
          "getsockopt", "ioctl"]
-ROOMS = ["net", "proto", "front", "agents", "engine", "module", "bulletin", "config", "structures", "wire", "main",
-         "library"]
+ROOMS = sorted(p.name for p in (ROOT / "src").iterdir() if p.is_dir()) + ["module", "main", "library"]
 
 
 def costs(figures, stacks, sources):
