--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -9,6 +9,12 @@
 // One counter a line.
 // clang-format off
 #define WILLOWRAIL_COUNTERS(X) \
+  X(admin_connections) \
+  X(admin_calls) \
+  X(admin_refused) \
+  X(admin_late) \
+  X(admin_left) \
+  X(admin_pruned) \
   X(owner_connections) \
   X(owner_closed) \
   X(owner_dismissed) \
