--- a/src/bulletin/reader.cpp
+++ b/src/bulletin/reader.cpp
@@ -90,7 +90,7 @@
 
 void BulletinReader::Connect() {
   loop_->TakeDown(std::exchange(again_, 0));
-  failed_ = false;
+  failed_ = told_ = false;
   line_.clear();
   data_.clear();
   http_parser_init(&parser_, HTTP_RESPONSE);
@@ -154,6 +154,7 @@
 }
 
 void BulletinReader::LineIn(std::string_view line) {
+  told_ = true;
   if (line.empty()) {
     if (!data_.empty()) EventIn();
     data_.clear();
--- a/src/bulletin/reader.h
+++ b/src/bulletin/reader.h
@@ -26,6 +26,9 @@
   void MoveTo(const sockaddr_in& address, const nlohmann::json& known);
 
   std::size_t size() const { return roster_.size(); }
+  bool Lists(std::string_view uid) const { return roster_.Lists(uid); }
+  // The list is being read: something of it came just now, and nothing says that the way is broken.
+  bool live() const { return told_ && connection_ != nullptr && connection_->up(); }
 
   void Subscribe(bool active) override;
   void Fetch() override;
@@ -51,6 +54,7 @@
   Roster roster_;
   const bool unasked_;   // changes arrive without a call, and failures are nobody's
   bool asked_ = false;   // a call waits for its answer
+  bool told_ = false;    // a word of the stream has come: what it has beyond `known` comes with it
   bool failed_ = false;  // what came in cannot be read
   std::unique_ptr<Connection> connection_;
   http_parser parser_{};
--- a/src/bulletin/roster.h
+++ b/src/bulletin/roster.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "engine/ports.h"
@@ -25,13 +27,14 @@
   Change All() const;
   std::int64_t last() const { return last_; }
   std::size_t size() const { return nodes_.size(); }
+  bool Lists(std::string_view uid) const { return nodes_.contains(uid); }
 
  private:
   ListedNode Read(const nlohmann::json& target) const;
 
   std::vector<std::string> zones_, kinds_;
   std::int64_t last_ = 0, version_ = 0;
-  std::map<std::string, ListedNode> nodes_;  // by uid
+  std::map<std::string, ListedNode, std::less<>> nodes_;  // by uid
 };
 
 }  // namespace willowrail
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -55,6 +55,16 @@
   return value;
 }
 
+int Descriptor(std::string_view text) {
+  int number = -1;
+  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || stop != text.data() + text.size() || number < 0) {
+    throw std::runtime_error("ROUTER_LISTEN_FD: '" + std::string(text) +
+                             "' is no descriptor; write a number");
+  }
+  return number;
+}
+
 }  // namespace
 
 std::string Flatten(const json& settings) {
@@ -68,6 +78,7 @@
   c.name = config.value("name", "willowrail");
   c.listen = Address(config, "listen");
   c.bulletin = Address(config, "bulletin");
+  if (config.contains("admin_addr")) c.admin = Address(config, "admin_addr");
   c.seed = Seed(config.value("seed", json("0")));
   c.known = config.value("known", json::object());
   const json& settings = config.at("settings");
@@ -97,7 +108,10 @@
   json config = json::parse(file);
   if (const char* name = std::getenv("ROUTER_NAME")) config["name"] = name;
   if (const char* listen = std::getenv("ROUTER_LISTEN")) config["listen"] = listen;
-  return ReadConfig(config);
+  if (const char* admin = std::getenv("ROUTER_ADMIN_ADDR")) config["admin_addr"] = admin;
+  Config c = ReadConfig(config);
+  if (const char* inherited = std::getenv("ROUTER_LISTEN_FD")) c.listen_socket = Descriptor(inherited);
+  return c;
 }
 
 }  // namespace willowrail
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,8 @@
 struct Config {
   std::string name;
   sockaddr_in listen{}, bulletin{};
+  int listen_socket = -1;  // inherited: it listens already, for every process of this name; -1: none
+  std::optional<sockaddr_in> admin;  // the operators' address; none: nobody is listened to there
   std::uint64_t seed = 0;
   passbridge::Settings settings;
   std::vector<std::string> zones, kinds;  // by their numbers
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -17,8 +17,6 @@
 using passbridge::Reason;
 
 constexpr Time kForever = std::numeric_limits<Time>::max();
-// An agent that was told to cut a task and says nothing is not waited for any longer.
-constexpr Time kCutPatience = 8 * kSecond;
 
 }  // namespace
 
@@ -36,7 +34,9 @@
     : loop_(loop),
       kind_cores_(settings.kind_cores),
       kind_memory_(settings.kind_memory),
-      module_(std::move(settings), seed) {}
+      module_(settings, seed) {
+  for (const passbridge::ClassSettings& c : settings.classes) ends_by_class_.push_back(figures_.Of(c.name));
+}
 
 void Engine::Connect(Owners* owners, Agents* agents, Directory* directory) {
   owners_ = owners;
@@ -111,6 +111,7 @@
   request.deadline = s.task.deadline;
   request.owed = !s.at;
   request.sent = loop_->Now();
+  request.ends = ends_by_class_[static_cast<std::size_t>(s.task.class_index)];
   request.cores = s.task.cores;
   request.memory = s.task.memory;
   if (s.at) {
@@ -182,6 +183,7 @@
   if (sites_ != nullptr) sites_->AttemptOver(node, true);
   loop_->TakeDown(r->timer);
   r->standing = true;
+  if (r->owed) ++r->ends->fulfilled;
   Unowe(r);
   owners_->Answer(r->origin, id, description);
   agents_->Stands(node, id, true);
@@ -213,6 +215,7 @@
     // started, and each further agent would only say the same. Its owner is told so, the module as well.
     const Handle origin = r->origin;
     const bool owed = r->owed;
+    if (owed) ++r->ends->faulted;
     Unowe(r);
     EndAttempt(handle, r, Outcome::kOk, says.reason, says.report);
     if (owed) owners_->Fail(origin, id, Over::kEnded);
@@ -260,15 +263,17 @@
                       const std::vector<ListedNode>& nodes) {
   auto entries = std::make_shared<std::vector<passbridge::NodeEntry>>();
   for (const ListedNode& node : nodes) {
-    entries->push_back(node.entry);
     agents_->Know(node);
+    const passbridge::NodeEntry decided = AsDecided(node.entry);
     if (sites_ != nullptr) {
       const std::size_t kind = std::min<std::size_t>(node.entry.kind, kind_cores_.size() - 1);
-      sites_->Listed(node.entry.node, node.entry.zone, node.entry.state == passbridge::NodeState::kReady,
+      sites_->Listed(node.entry.node, node.entry.zone, decided.state == passbridge::NodeState::kReady,
                      {kind_cores_[kind], kind_memory_[kind], node.entry.free_cores, node.entry.free_memory},
                      loop_->Now());
     }
+    entries->push_back(decided);
     Listed& listed = listed_[node.entry.node];
+    listed.entry = node.entry;
     listed.gone = node.entry.state == passbridge::NodeState::kGone;
     // Guards against a process that died and came up again between two dials: its new life holds nothing.
     if (std::exchange(listed.came_up, node.entry.came_up) != node.entry.came_up) {
@@ -282,6 +287,7 @@
         if (it == listed_.end() || !it->second.gone) return;
         LoseTasks(id, kForever);
         listed_.erase(id);
+        if (rotation_ != nullptr) rotation_->Gone(id);
       });
     }
   }
@@ -289,6 +295,23 @@
   Post(passbridge::RosterChanged{kind, version, told ? entries : nullptr});
 }
 
+passbridge::NodeEntry Engine::AsDecided(const passbridge::NodeEntry& entry) const {
+  return rotation_ != nullptr ? rotation_->AsDecided(entry) : entry;
+}
+
+std::size_t Engine::avoided() const {
+  return static_cast<std::size_t>(std::ranges::count_if(listed_, [this](const auto& each) {
+    return !each.second.gone && AsDecided(each.second.entry).state != passbridge::NodeState::kReady;
+  }));
+}
+
+void Engine::Rotated(NodeId node) {
+  const auto it = listed_.find(node);
+  if (it == listed_.end() || it->second.gone) return;
+  auto entries = std::make_shared<std::vector<passbridge::NodeEntry>>(1, AsDecided(it->second.entry));
+  Post(passbridge::RosterChanged{passbridge::RosterKind::kDelta, 0, entries});
+}
+
 std::size_t Engine::LoseTasks(NodeId node, Time sent_before, bool disown) {
   std::vector<Handle> lost;
   requests_.ForEach([&](Handle handle, const Request& r) {
@@ -305,130 +328,4 @@
   return lost.size();
 }
 
-// --- What the module orders ------------------------------------------------------------------------------
-void Engine::Do(const passbridge::Offer& a) {
-  Request* r = ByName(a.id);
-  if (r == nullptr || r->out || !r->owed) {
-    Log("the module offers what cannot be offered, passed over");
-    return;
-  }
-  const Handle handle = a.id;
-  const Time until = a.until > 0 ? std::min(a.until, r->deadline) : r->deadline;
-  ++r->attempts;
-  r->out = true;
-  r->node = a.node;
-  r->sent = loop_->Now();
-  r->timer = loop_->At(until, [this, handle] {
-    if (Request* late = requests_.Get(handle)) {
-      ++counters.attempts_timed_out;
-      GiveUp(handle, late, Outcome::kTimedOut);
-    }
-  });
-  if (sites_ != nullptr) sites_->Asked(a.node, r->sent);
-  agents_->Offer(a.node, r->id, r->passage, until);
-}
-
-void Engine::Do(const passbridge::Probe& a) {
-  if (sites_ != nullptr) sites_->Asked(a.node, loop_->Now());
-  agents_->Probe(a.node);
-}
-
-void Engine::Do(const passbridge::Retract& a) {
-  Request* r = ByName(a.id);
-  if (r == nullptr || !r->out || r->standing || a.attempt != r->attempts - 1) return;
-  GiveUp(a.id, r, Outcome::kCancelled);
-}
-
-void Engine::Do(const passbridge::Refuse& a) {
-  Settle(ByName(a.id), [&](Handle origin, TaskId id) { owners_->Refuse(origin, id, a.stay_away); });
-}
-
-void Engine::Do(const passbridge::Fail& a) {
-  Settle(ByName(a.id), [this](Handle origin, TaskId id) { owners_->Fail(origin, id, Over::kCut); });
-}
-
-void Engine::Do(const passbridge::Move& a) {
-  Request* r = ByName(a.id);
-  if (r == nullptr || !r->standing || r->cutting) return;
-  owners_->Move(r->origin, r->id);
-  Cut(a.id, r);
-}
-
-void Engine::Do(const passbridge::SetTimer& a) {
-  loop_->At(a.at, [this, tag = a.tag] { Post(passbridge::TimerFired{tag}); });
-}
-
-void Engine::Do(const passbridge::Log& a) { Log("module: %s", a.text.c_str()); }
-
-// --- The life of a request -------------------------------------------------------------------------------
-void Engine::Unowe(Request* r) {
-  if (std::exchange(r->owed, false)) --owed_;
-}
-
-// The one final answer. An attempt still out is given up first, so that nothing is out once it is read.
-template <typename Say>
-void Engine::Settle(Request* r, Say say) {
-  if (r == nullptr || !r->owed) return;
-  const Handle origin = r->origin, handle = by_id_.at(r->id);
-  const TaskId id = r->id;
-  Unowe(r);
-  if (r->out) {
-    GiveUp(handle, r, Outcome::kTimedOut);
-  } else {
-    Erase(handle, r);
-  }
-  say(origin, id);
-}
-
-void Engine::GiveUp(Handle handle, Request* r, Outcome outcome) {
-  const bool sent = agents_->GiveUp(r->node, r->id);
-  if ((r = requests_.Get(handle)) == nullptr || !r->out) return;  // ended by what that brought about
-  if (sites_ != nullptr && outcome == Outcome::kTimedOut) {
-    sites_->Unanswered(r->node, r->sent);
-    sites_->AttemptOver(r->node, false);
-  }
-  EndAttempt(handle, r, sent ? outcome : Outcome::kNotSent, Reason::kUntold, {});
-}
-
-void Engine::EndAttempt(Handle handle, Request* r, Outcome outcome, Reason reason,
-                        passbridge::Report report) {
-  loop_->TakeDown(r->timer);
-  r->out = false;
-  passbridge::AttemptEnded end;
-  end.id = handle;
-  end.attempt = r->attempts - 1;
-  end.node = r->node;
-  end.outcome = outcome;
-  end.took = loop_->Now() - r->sent;
-  end.done = !r->owed;
-  end.reason = reason;
-  end.report = report;
-  Post(end);
-  if ((r = requests_.Get(handle)) != nullptr && !r->owed && !r->out) Erase(handle, r);
-}
-
-// A task that stands is to end: its agent is told, and its end is told to the module when the agent says so.
-void Engine::Cut(Handle handle, Request* r) {
-  r->cutting = true;
-  agents_->Cut(r->node, r->id);
-  r->timer = loop_->After(kCutPatience, [this, handle] {
-    Request* late = requests_.Get(handle);
-    if (late != nullptr) FinishStanding(handle, late, Outcome::kCancelled, Reason::kUntold, false);
-  });
-}
-
-void Engine::FinishStanding(Handle handle, Request* r, Outcome outcome, Reason reason, bool tell) {
-  agents_->Stands(r->node, r->id, false);
-  if (sites_ != nullptr) sites_->TaskOver(r->cores, r->memory, loop_->Now());
-  if (tell) owners_->Release(r->origin, r->id, outcome == Outcome::kOk ? Over::kEnded : Over::kCut);
-  EndAttempt(handle, r, outcome, reason, {});
-}
-
-void Engine::Erase(Handle handle, Request* r) {
-  loop_->TakeDown(r->timer);
-  Unowe(r);
-  by_id_.erase(r->id);
-  requests_.Erase(handle);
-}
-
 }  // namespace willowrail
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -8,8 +8,10 @@
 
 #include "ends/stray_ends.h"
 #include "engine/ports.h"
+#include "figures/figures.h"
 #include "net/loop.h"
 #include "passbridge/scheduler.h"
+#include "rotation/rotation.h"
 #include "sites/sites.h"
 #include "structures/hash.h"
 #include "structures/slot_table.h"
@@ -22,10 +24,16 @@
   void Connect(Owners* owners, Agents* agents, Directory* directory);
   // Feeds the plan for lost sites, and lets the module ask it. It outlives the engine.
   void Follow(sites::Sites* sites);
+  // What operators took out by hand, from now on; asked of every entry of the list. It outlives the engine.
+  void Follow(Rotation* rotation) { rotation_ = rotation; }
+  // They took this one out, or called it back.
+  void Rotated(NodeId node);
 
   std::size_t owed() const { return owed_; }  // requests without a final answer
   std::size_t nodes() const { return listed_.size(); }
+  std::size_t avoided() const;  // listed agents that get nothing now, by hand or by choice
   std::size_t module_size() const { return module_.size(); }
+  const Figures& figures() const { return figures_; }
   std::size_t standing() const { return requests_.size() - owed_; }
 
   bool OnSetUp(SetUp set_up) override;
@@ -55,8 +63,10 @@
     Time sent = 0;
     Handle timer = 0;
     double cores = 0, memory = 0;
+    Ends* ends = nullptr;  // where its end is counted
   };
   struct Listed {
+    passbridge::NodeEntry entry;  // as the list has it
     Time came_up = 0;
     bool gone = false;
   };
@@ -79,7 +89,7 @@
   void Do(const passbridge::Log& action);
 
   template <typename Say>
-  void Settle(Request* r, Say say);
+  void Settle(Request* r, std::uint64_t Ends::*as, Say say);
   void Unowe(Request* r);
   void GiveUp(Handle handle, Request* r, passbridge::Outcome outcome);
   void EndAttempt(Handle handle, Request* r, passbridge::Outcome outcome, passbridge::Reason reason,
@@ -91,10 +101,14 @@
   std::size_t LoseTasks(NodeId node, Time sent_before, bool disown = false);
   void Erase(Handle handle, Request* r);
   void LookAtSites();
+  passbridge::NodeEntry AsDecided(const passbridge::NodeEntry& entry) const;
 
   Loop* loop_;
   const std::vector<double> kind_cores_, kind_memory_;
   passbridge::Scheduler module_;
+  Figures figures_;
+  std::vector<Ends*> ends_by_class_;
+  Rotation* rotation_ = nullptr;   // null: nobody takes anything out by hand
   sites::Sites* sites_ = nullptr;  // null: no plan for lost sites is followed
   Owners* owners_ = nullptr;
   Agents* agents_ = nullptr;
--- /dev/null
+++ b/src/engine/orders.cpp
@@ -0,0 +1,149 @@
+// What the module orders is carried out, and the life of each request is led to its end.
+#include <algorithm>
+#include <utility>
+
+#include "engine/engine.h"
+#include "net/counters.h"
+#include "net/log.h"
+
+namespace willowrail {
+namespace {
+
+using passbridge::Outcome;
+using passbridge::Reason;
+
+// An agent that was told to cut a task and says nothing is not waited for any longer.
+constexpr Time kCutPatience = 8 * kSecond;
+
+}  // namespace
+
+// --- What the module orders ------------------------------------------------------------------------------
+void Engine::Do(const passbridge::Offer& a) {
+  Request* r = ByName(a.id);
+  if (r == nullptr || r->out || !r->owed) {
+    Log("the module offers what cannot be offered, passed over");
+    return;
+  }
+  const Handle handle = a.id;
+  const Time until = a.until > 0 ? std::min(a.until, r->deadline) : r->deadline;
+  ++r->attempts;
+  r->out = true;
+  r->node = a.node;
+  r->sent = loop_->Now();
+  r->timer = loop_->At(until, [this, handle] {
+    if (Request* late = requests_.Get(handle)) {
+      ++counters.attempts_timed_out;
+      GiveUp(handle, late, Outcome::kTimedOut);
+    }
+  });
+  if (sites_ != nullptr) sites_->Asked(a.node, r->sent);
+  agents_->Offer(a.node, r->id, r->passage, until);
+}
+
+void Engine::Do(const passbridge::Probe& a) {
+  if (sites_ != nullptr) sites_->Asked(a.node, loop_->Now());
+  agents_->Probe(a.node);
+}
+
+void Engine::Do(const passbridge::Retract& a) {
+  Request* r = ByName(a.id);
+  if (r == nullptr || !r->out || r->standing || a.attempt != r->attempts - 1) return;
+  GiveUp(a.id, r, Outcome::kCancelled);
+}
+
+void Engine::Do(const passbridge::Refuse& a) {
+  Settle(ByName(a.id), &Ends::throttled,
+         [&](Handle origin, TaskId id) { owners_->Refuse(origin, id, a.stay_away); });
+}
+
+void Engine::Do(const passbridge::Fail& a) {
+  Settle(ByName(a.id), &Ends::faulted,
+         [this](Handle origin, TaskId id) { owners_->Fail(origin, id, Over::kCut); });
+}
+
+void Engine::Do(const passbridge::Move& a) {
+  Request* r = ByName(a.id);
+  if (r == nullptr || !r->standing || r->cutting) return;
+  owners_->Move(r->origin, r->id);
+  Cut(a.id, r);
+}
+
+void Engine::Do(const passbridge::SetTimer& a) {
+  loop_->At(a.at, [this, tag = a.tag] { Post(passbridge::TimerFired{tag}); });
+}
+
+void Engine::Do(const passbridge::Log& a) { Log("module: %s", a.text.c_str()); }
+
+// --- The life of a request -------------------------------------------------------------------------------
+void Engine::Unowe(Request* r) {
+  if (std::exchange(r->owed, false)) --owed_;
+}
+
+// The one final answer. An attempt still out is given up first, so that nothing is out once it is read.
+template <typename Say>
+void Engine::Settle(Request* r, std::uint64_t Ends::*as, Say say) {
+  if (r == nullptr || !r->owed) return;
+  ++(r->ends->*as);
+  const Handle origin = r->origin, handle = by_id_.at(r->id);
+  const TaskId id = r->id;
+  Unowe(r);
+  if (r->out) {
+    GiveUp(handle, r, Outcome::kTimedOut);
+  } else {
+    Erase(handle, r);
+  }
+  say(origin, id);
+}
+
+void Engine::GiveUp(Handle handle, Request* r, Outcome outcome) {
+  const bool sent = agents_->GiveUp(r->node, r->id);
+  if ((r = requests_.Get(handle)) == nullptr || !r->out) return;  // ended by what that brought about
+  if (sites_ != nullptr && outcome == Outcome::kTimedOut) {
+    sites_->Unanswered(r->node, r->sent);
+    sites_->AttemptOver(r->node, false);
+  }
+  EndAttempt(handle, r, sent ? outcome : Outcome::kNotSent, Reason::kUntold, {});
+}
+
+void Engine::EndAttempt(Handle handle, Request* r, Outcome outcome, Reason reason,
+                        passbridge::Report report) {
+  loop_->TakeDown(r->timer);
+  r->out = false;
+  passbridge::AttemptEnded end;
+  end.id = handle;
+  end.attempt = r->attempts - 1;
+  end.node = r->node;
+  end.outcome = outcome;
+  end.took = loop_->Now() - r->sent;
+  end.done = !r->owed;
+  end.reason = reason;
+  end.report = report;
+  Post(end);
+  if ((r = requests_.Get(handle)) != nullptr && !r->owed && !r->out) Erase(handle, r);
+}
+
+// A task that stands is to end: its agent is told, and its end is told to the module when the agent says so.
+void Engine::Cut(Handle handle, Request* r) {
+  r->cutting = true;
+  agents_->Cut(r->node, r->id);
+  r->timer = loop_->After(kCutPatience, [this, handle] {
+    Request* late = requests_.Get(handle);
+    if (late != nullptr) FinishStanding(handle, late, Outcome::kCancelled, Reason::kUntold, false);
+  });
+}
+
+void Engine::FinishStanding(Handle handle, Request* r, Outcome outcome, Reason reason, bool tell) {
+  agents_->Stands(r->node, r->id, false);
+  if (sites_ != nullptr) sites_->TaskOver(r->cores, r->memory, loop_->Now());
+  if (tell) owners_->Release(r->origin, r->id, outcome == Outcome::kOk ? Over::kEnded : Over::kCut);
+  EndAttempt(handle, r, outcome, reason, {});
+}
+
+void Engine::Erase(Handle handle, Request* r) {
+  loop_->TakeDown(r->timer);
+  Unowe(r);
+  by_id_.erase(r->id);
+  requests_.Erase(handle);
+}
+
+}  // namespace willowrail
--- /dev/null
+++ b/src/front/answer.cpp
@@ -0,0 +1,125 @@
+// What owners are told: answers on the way that a set-up came by, ends on any way that is read.
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "front/front.h"
+#include "net/counters.h"
+
+namespace willowrail {
+namespace {
+
+using proto::Cause;
+using proto::Code;
+using proto::Type;
+using proto::Writer;
+
+constexpr Time kMayBeClosing = 3 * kSecond;  // of idleness: no release goes there if another way is open
+constexpr Time kHeldMost = 600 * kMs;        // then a release goes also where nothing was served yet
+
+Cause CauseOf(Over over) { return over == Over::kEnded ? Cause::kEnded : Cause::kReset; }
+
+}  // namespace
+
+// The set-up's connection, on which its answer is due; null where that is gone.
+Connection* Front::Settled(Handle origin, TaskId id) {
+  Owner* owner = owners_.Get(origin);
+  if (owner == nullptr || owner->leaving > 0) return nullptr;
+  std::erase(owner->open, id);
+  return owner->connection.get();
+}
+
+void Front::Answer(Handle origin, TaskId id, std::string_view description) {
+  Connection* connection = Settled(origin, id);
+  if (connection == nullptr) return;
+  ++counters.answers_sent;
+  Writer(connection->out(), Type::kAnswer, id).Add(Code::kDescription, description);
+  Trusted(owners_.Get(origin));
+}
+
+void Front::Refuse(Handle origin, TaskId id, Time stay_away) {
+  Connection* connection = Settled(origin, id);
+  if (connection == nullptr) return;
+  ++counters.refusals_sent;
+  Writer message(connection->out(), Type::kRelease, id);
+  message.Add(Cause::kRefused);
+  if (stay_away > 0) message.Add(Code::kStayAway, (stay_away + kMs - 1) / kMs);
+}
+
+void Front::Fail(Handle origin, TaskId id, Over over) {
+  Connection* connection = Settled(origin, id);
+  if (connection == nullptr) return;
+  ++counters.failures_sent;
+  Writer(connection->out(), Type::kRelease, id).Add(CauseOf(over));
+}
+
+// What ends a task that stands may go on any connection. Guards against one that does not read it: first come
+// those that were served, as bad clients never are; of these such as cannot be closing right now; then the
+// task's own; then the one heard of last.
+Front::Owner* Front::AnyWay(Handle preferred, Handle shunned) {
+  const Time now = loop_->Now();
+  const auto rank = [&](Handle handle, const Owner& owner) {
+    const Time heard = owner.connection->last_traffic;
+    return std::tuple(owner.trusted, !owner.open.empty() || now - heard < kMayBeClosing, handle == preferred,
+                      heard);
+  };
+  // The task's own way, where it is a good one, is the first of all: no need to look at the others.
+  if (Owner* own = owners_.Get(preferred);
+      own != nullptr && own->leaving == 0 && own->trusted && std::get<1>(rank(preferred, *own))) {
+    return own;
+  }
+  Owner* best = nullptr;
+  Handle best_handle = 0;
+  owners_.ForEach([&](Handle handle, Owner& owner) {
+    if (owner.leaving > 0 || handle == shunned) return;
+    if (best != nullptr && rank(handle, owner) <= rank(best_handle, *best)) return;
+    best = &owner;
+    best_handle = handle;
+  });
+  return best;
+}
+
+void Front::Trusted(Owner* owner) {
+  if (!std::exchange(owner->trusted, true) && ends_.waiting() > 0) SendOwed();
+}
+
+bool Front::TrySend(Handle origin, const OwedEnds::End& end) {
+  // Where the only way left is the one that fell silent, that one is better than none.
+  Owner* owner = AnyWay(origin, end.shunned);
+  if (owner == nullptr && end.shunned != 0) owner = AnyWay(origin, 0);
+  const Time now = loop_->Now();
+  const Time held_most = door_ == Door::kOpen ? kHeldMost : 0;
+  if (owner == nullptr || (!owner->trusted && now - end.since < held_most)) return false;
+  // Guards against an end that is told to a bad client alone: there only its word counts as read.
+  ends_.Written(end.task, owner->connection->tag, owner->confirms || !owner->trusted, now);
+  const auto type = static_cast<Type>(end.kind);
+  Writer message(owner->connection->out(), type, end.task);
+  if (type == Type::kRelease) message.Add(static_cast<Cause>(end.cause));
+  return true;
+}
+
+void Front::Send(Handle origin, Type type, TaskId id, Cause cause) {
+  const Time now = loop_->Now();
+  ends_.Owe(id, static_cast<int>(type), static_cast<int>(cause), now);
+  if (!TrySend(origin, {id, static_cast<int>(type), static_cast<int>(cause), now, 0, 0, 0, false})) {
+    ++counters.releases_held;
+  }
+}
+
+void Front::SendOwed() {
+  for (const OwedEnds::End& end : ends_.Waiting()) {
+    if (!TrySend(0, end)) return;  // what is owed for longer is sent first, and the same ways are open to all
+  }
+}
+
+void Front::Release(Handle origin, TaskId id, Over over) {
+  ++counters.releases_sent;
+  Send(origin, Type::kRelease, id, CauseOf(over));
+}
+
+void Front::Move(Handle origin, TaskId id) {
+  ++counters.moves_sent;
+  Send(origin, Type::kMove, id, Cause::kReset);
+}
+
+}  // namespace willowrail
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -23,9 +23,20 @@
   sockaddr_in address() const { return listener_.address(); }
   // How many descriptors the process may hold; owners get five eighths of them, agents most of the rest.
   void SetMost(int sockets) { most_ = static_cast<std::size_t>(std::max(sockets * 5 / 8, 1)); }
-  void Drain() { draining_ = true; }  // tests are no longer passed; all else goes on
-  bool idle();                        // nothing is left to write
-  void Finish();                      // closes its side of every connection
+  // What the door is like for owners.
+  //   kOpen        tests are passed, connections stay as long as owners keep them
+  //   kEmptying    by an operator: tests fail, a connection is closed once it is quiet; who comes is served
+  //   kHandingOver another process serves at this address from now on: nobody is accepted here any more,
+  //   tests
+  //                are passed (the cluster manager is ready, if not by this process), quiet connections
+  //                closed
+  //   kLeaving     a planned restart: tests fail, all else goes on until Finish()
+  enum class Door { kOpen, kEmptying, kHandingOver, kLeaving };
+  void Set(Door door);
+  Door door() const { return door_; }
+  void Resume() { listener_.Resume(); }  // an inherited socket: accepts from now on
+  bool idle();                           // nothing is left to write
+  void Finish();                         // closes its side of every connection
   std::size_t size() const { return owners_.size(); }
   std::size_t ends() const { return ends_.size(); }
 
@@ -63,6 +74,7 @@
   void Dismiss(Handle handle);
   void Remove(Handle handle);
   void Prune();
+  void CloseQuiet();
   void Sweep();
 
   Loop* loop_;
@@ -73,7 +85,8 @@
   SlotTable<Owner> owners_;
   OwedEnds ends_;
   bool owed_soon_ = false;  // SendOwed is due
-  bool draining_ = false;
+  Door door_ = Door::kOpen;
+  Handle quiet_sweep_ = 0;  // CloseQuiet is due
   Listener listener_;
 };
 
--- /dev/null
+++ b/src/front/receive.cpp
@@ -0,0 +1,164 @@
+// What owners send: set-ups, releases and tests, read from the slices they came in.
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "front/front.h"
+#include "net/counters.h"
+#include "wire/fields.h"
+
+namespace willowrail {
+namespace {
+
+using proto::Cause;
+using proto::Code;
+using proto::Message;
+using proto::Type;
+using proto::Writer;
+
+constexpr std::size_t kMostOpen = 512;  // set-ups on one connection; a busy day sees a tenth
+constexpr Time kOverMostAway = kSecond;
+constexpr std::int64_t kMostWaits = 10;  // deadlines of its class that a set-up may ask to wait
+
+bool ReadHex(std::string_view text, std::uint64_t* value) {
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, *value, 16);
+  return error == std::errc() && stop == end;
+}
+
+template <typename List>
+int Position(const List& list, std::string_view name) {
+  for (std::size_t i = 0; i < list.size(); ++i) {
+    if (list[i].name == name) return static_cast<int>(i);
+  }
+  return -1;
+}
+
+}  // namespace
+
+bool Front::Take(Connection& connection, const Message& m) {
+  Owner* owner = owners_.Get(connection.tag);
+  switch (m.type) {
+    case Type::kSetUp:
+      switch (TakeSetUp(connection, m)) {
+        case Verdict::kTaken:
+          return true;
+        case Verdict::kRejected:
+          ++counters.setups_rejected;
+          Writer(connection.out(), Type::kRelease, m.task).Add(Cause::kError);
+          return true;
+        case Verdict::kUnreadable:
+          return false;
+      }
+      return false;
+    case Type::kRelease:
+      std::erase(owner->open, m.task);
+      events_->OnOwnerRelease(m.task, connection.tag);
+      return true;
+    case Type::kTest:
+      ++counters.tests_answered;
+      Writer(connection.out(), Type::kTestResult, m.task)
+          .Add(door_ == Door::kOpen || door_ == Door::kHandingOver ? Cause::kTestPassed : Cause::kTestFailed);
+      owner->spoke = true;
+      // While connections are let go, the front's questions are often the only way that is left to owners.
+      if (door_ != Door::kOpen && ends_.waiting() > 0) SendOwed();
+      return true;
+    case Type::kReleaseHeard:
+      ++counters.owner_heard;
+      if (ends_.Heard(m.task, connection.tag)) owner->confirms = true;
+      return true;
+    default:  // free, or of no meaning here
+      return true;
+  }
+}
+
+// Guards against set-ups that nobody could serve, or that would be served as something else: they are
+// answered with an error and reach neither the module nor an agent, who would close on some of them.
+Front::Verdict Front::TakeSetUp(Connection& connection, const Message& m) {
+  SetUp s;
+  s.origin = connection.tag;
+  if (!ReadSetUp(m, &s)) {
+    ++counters.setups_bad;
+    return Verdict::kRejected;
+  }
+  Owner* owner = owners_.Get(connection.tag);
+  const TaskId id = s.id;
+  const bool again = std::ranges::find(owner->open, id) != owner->open.end();
+  if (s.at) {
+    ++counters.setups_at;
+    if (!events_->OnSetUp(std::move(s))) return Verdict::kRejected;
+    owner->spoke = true;
+    Trusted(owner);
+    return Verdict::kTaken;
+  }
+  if (!again && owner->open.size() >= kMostOpen) {
+    ++counters.setups_over_most;
+    Refuse(connection.tag, id, kOverMostAway);
+    return Verdict::kTaken;
+  }
+  ++counters.setups_taken;
+  if (!again) owner->open.push_back(id);
+  if (events_->OnSetUp(std::move(s))) {
+    owner->spoke = true;
+    return Verdict::kTaken;
+  }
+  // Two requests under one number on one connection: no answer could tell which one it is for.
+  if (again) return Verdict::kUnreadable;
+  std::erase(owner->open, id);
+  return Verdict::kRejected;
+}
+
+bool Front::ReadSetUp(const Message& m, SetUp* s) const {
+  s->id = m.task;
+  s->task.class_index = Position(settings_.classes, m.Get(Code::kClass));
+  s->task.tenant = Position(settings_.tenants, m.Get(Code::kTenant));
+  if (s->id == 0 || s->task.class_index < 0) return false;
+  if (settings_.tenants.empty()) s->task.tenant = 0;
+  if (s->task.tenant < 0 || m.Get(Code::kDescription).empty()) return false;
+  if (!ReadHex(m.Get(Code::kName), &s->task.name) || !ReadFigures(m.Get(Code::kFigures), s)) return false;
+  const passbridge::ClassSettings& its_class =
+      settings_.classes[static_cast<std::size_t>(s->task.class_index)];
+  if (its_class.effect == passbridge::Effect::kKeyed && m.Get(Code::kKey).empty()) return false;
+  std::int64_t wait = 0;
+  if (!s->at) {  // else no answer is owed
+    if (!passbridge::wire::ReadInt(m.Get(Code::kWait), &wait)) return false;
+    if (wait <= 0 || wait > kMostWaits * its_class.deadline / kMs) return false;
+  }
+  s->task.deadline = loop_->Now() + wait * kMs;
+  s->task.repeat = m.Has(Code::kRetry);
+  const std::string_view class_name = m.Get(Code::kClass), name = m.Get(Code::kName), key = m.Get(Code::kKey),
+                         description = m.Get(Code::kDescription);
+  BlockPool::Ref& bytes = s->passage.bytes;
+  bytes = Blocks().Make(proto::ParameterBytes(class_name) + proto::ParameterBytes(name) +
+                        proto::ParameterBytes(key) + proto::ParameterBytes(description));
+  proto::AppendParameter(&bytes, Code::kClass, class_name);
+  s->passage.class_end = bytes.size();
+  proto::AppendParameter(&bytes, Code::kName, name);
+  if (!key.empty()) proto::AppendParameter(&bytes, Code::kKey, key);
+  proto::AppendParameter(&bytes, Code::kDescription, description);
+  counters.bytes_held += bytes.size();
+  return true;
+}
+
+// "cores:1;memory:2;service:00000000b4d65521", and at:UID where an agent holds the task already.
+bool Front::ReadFigures(std::string_view text, SetUp* s) const {
+  bool service = false;
+  while (!text.empty()) {
+    const std::string_view pair = text.substr(0, text.find(';'));
+    text.remove_prefix(std::min(text.size(), pair.size() + 1));
+    const std::size_t colon = pair.find(':');
+    if (colon == std::string_view::npos) return false;
+    const std::string_view name = pair.substr(0, colon), value = pair.substr(colon + 1);
+    bool good = true;
+    if (name == "cores") good = passbridge::wire::ReadNumber(value, &s->task.cores);
+    if (name == "memory") good = passbridge::wire::ReadNumber(value, &s->task.memory);
+    if (name == "service") good = service = ReadHex(value, &s->task.service);
+    if (name == "at") s->at = NodeOf(value);
+    if (!good) return false;
+  }
+  const passbridge::Task& task = s->task;
+  return service && task.cores > 0 && task.cores <= most_cores_ && task.memory > 0 &&
+         task.memory <= most_memory_;
+}
+
+}  // namespace willowrail
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -72,7 +72,8 @@
   X(stuck_writes) \
   X(bytes_kept) \
   X(bytes_held) \
-  X(reloads)
+  X(reloads) \
+  X(reloads_refused)
 // clang-format on
 
 struct Counters {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,5 +1,6 @@
 #include "net/listener.h"
 
+#include <fcntl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -31,17 +32,42 @@
     if (socket_ >= 0) sys::Close(socket_);
     throw std::runtime_error("cannot listen: " + problem);
   }
+  Watch();
+  Resume();
+}
+
+Listener::Listener(Loop* loop, int listening, std::function<void(int)> accepted)
+    : loop_(loop), accepted_(std::move(accepted)), socket_(listening) {
+  int listens = 0;
+  const int flags = ::fcntl(socket_, F_GETFL);
+  if (flags < 0 || sys::GetOption(socket_, SOL_SOCKET, SO_ACCEPTCONN, &listens) != 0 || listens == 0 ||
+      ::fcntl(socket_, F_SETFL, flags | O_NONBLOCK) != 0) {
+    throw std::runtime_error("descriptor " + std::to_string(listening) + " is no listening socket");
+  }
+  ::fcntl(socket_, F_SETFD, FD_CLOEXEC);
+  Watch();
+}
+
+Listener::~Listener() { Close(); }
+
+void Listener::Watch() {
   ev_io_init(
       &io_, [](struct ev_loop*, ev_io* w, int) { static_cast<Listener*>(w->data)->Accept(); }, socket_,
       EV_READ);
   io_.data = this;
-  ev_io_start(loop_->raw(), &io_);
 }
 
-Listener::~Listener() {
+void Listener::Resume() {
+  if (socket_ >= 0) ev_io_start(loop_->raw(), &io_);
+}
+
+void Listener::Close() {
+  if (socket_ < 0) return;
   loop_->TakeDown(retry_);
+  ev_clear_pending(loop_->raw(), &io_);
   ev_io_stop(loop_->raw(), &io_);
   sys::Close(socket_);
+  socket_ = -1;
 }
 
 sockaddr_in Listener::address() const {
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -14,18 +14,24 @@
  public:
   // Throws std::runtime_error where the address cannot be listened on.
   Listener(Loop* loop, const sockaddr_in& address, std::function<void(int socket)> accepted);
+  // Takes over a socket that listens already, as several processes may that take turns: what is in its
+  // backlog belongs to whoever accepts it. Accepts nothing before Resume().
+  Listener(Loop* loop, int listening, std::function<void(int socket)> accepted);
   ~Listener();
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
 
   sockaddr_in address() const;
+  void Resume();  // accepts from now on
+  void Close();   // accepts no more; where others have the socket too, its backlog is theirs
 
  private:
+  void Watch();
   void Accept();
 
   Loop* loop_;
   std::function<void(int)> accepted_;
-  int socket_;
+  int socket_ = -1;
   ev_io io_;
   Handle retry_ = 0;
 };
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -26,7 +26,8 @@
   struct ev_loop* raw() {
     return loop_;
   }
-  Time Now();  // the Unix clock; never goes back
+  Time Now();                        // the Unix clock; never goes back
+  Time now() const { return now_; }  // when that was asked last
   Handle At(Time at, Callback what) { return wheel_.Hang(at, what); }
   Handle After(Time delay, Callback what) { return At(Now() + delay, what); }
   void TakeDown(Handle handle) { wheel_.TakeDown(handle); }
--- /dev/null
+++ b/src/roles/serving.cpp
@@ -0,0 +1,225 @@
+#include "roles/serving.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <exception>
+#include <utility>
+
+#include "net/counters.h"
+#include "net/log.h"
+#include "net/sys.h"
+#include "proto/message.h"
+#include "sites/plan.h"
+#include "structures/block_pool.h"
+#include "structures/hash.h"
+
+namespace willowrail {
+
+// Defined by the counting build (bench/counted.cpp) alone: prints what it counted.
+__attribute__((weak)) void (*counting_build)(std::FILE* to) = nullptr;
+
+namespace {
+
+// After SIGTERM new connections come for up to 0.4 s and requests for 0.2 s more; all of them are served.
+constexpr Time kLastArrivals = 750 * kMs;
+constexpr Time kStopLook = 10 * kMs;
+constexpr Time kLastWords = 200 * kMs;  // for owners to read what was written last, before the sockets close
+// Before it takes over, a process waits so long to hear from the list. Guards against waiting for a list that
+// is out of reach: what was known at the start serves as well.
+constexpr Time kListMost = 1500 * kMs;
+constexpr Time kReadyLook = 5 * kMs;
+constexpr Time kFollow = 25 * kMs;  // of what another process of this cluster manager was told
+
+std::uint64_t Seeded(std::uint64_t seed) { return hash_seed = seed; }
+
+std::string SharedPath(const std::string& name) {
+  const char* folder = std::getenv("TMPDIR");
+  if (folder == nullptr || *folder == '\0') return "";
+  std::string plain = name;
+  std::ranges::replace_if(
+      plain, [](char c) { return c == '/' || c == '\0'; }, '_');
+  return std::string(folder) + "/willowrail." + plain + ".rotation";
+}
+
+}  // namespace
+
+Serving::Serving(Files files, Config config)
+    : files_(std::move(files)),
+      config_(std::move(config)),
+      deployment_(sites::DeploymentOf(config_.settings, config_.zones)),
+      engine_(&loop_, config_.settings, Seeded(config_.seed)),
+      pool_(&loop_, {config_.dial_timeout, config_.keepalive}, config_.sockets, config_.seed, &engine_),
+      bulletin_(&loop_, config_, &engine_),
+      front_(&loop_, config_, &engine_) {
+  engine_.Connect(&front_, &pool_, &bulletin_);
+  if (!files_.sites.empty()) {
+    sites_.emplace(sites::LoadPlan(files_.sites, deployment_), deployment_);
+    engine_.Follow(&*sites_);
+    Log("sites: the plan of %s is followed", files_.sites.c_str());
+  }
+  if (config_.admin) {
+    engine_.Follow(&rotation_);
+    if (const std::string path = SharedPath(config_.name); !path.empty()) shared_rotation_.emplace(path);
+    FollowOthers();
+  }
+  bulletin_.TellKnown(config_.known);
+  loop_.OnSignal(SIGHUP, [this] { Reload(); });
+  loop_.OnSignal(SIGTERM, [this] { Stop(); });
+  loop_.OnSignal(SIGINT, [this] { Stop(); });
+  loop_.OnSignal(SIGUSR1, [this] { Print(); });
+  Log("%s listens on %s", config_.name.c_str(), AddressText(front_.address()).c_str());
+  if (config_.admin) {
+    admin_.emplace(&loop_, *config_.admin, this);
+    Log("operators are listened to on %s", AddressText(admin_->address()).c_str());
+  }
+  if (inherited()) BeginWhenReady();
+}
+
+void Serving::Run() {
+  loop_.Run();
+  loop_.FlushAll();
+  Print();
+}
+
+// --- Beginning -------------------------------------------------------------------------------------------
+bool Serving::Ready() const {
+  if (stop_from_ > 0 || front_.door() != Front::Door::kOpen) return false;
+  return bulletin_.live() || loop_.now() - started_ >= kListMost;
+}
+
+// An inherited socket has a backlog that somebody else serves: nothing is taken from it before its time.
+void Serving::BeginWhenReady() {
+  if (stop_from_ > 0) return;
+  if (Ready()) {
+    front_.Resume();
+  } else {
+    loop_.After(kReadyLook, [this] { BeginWhenReady(); });
+  }
+}
+
+// --- Operators -------------------------------------------------------------------------------------------
+std::string Serving::Figures() const {
+  return engine_.figures().Write({.relayed = counters.offers_sent,
+                                  .open_requests = engine_.owed() + engine_.standing(),
+                                  .registry_entries = bulletin_.size(),
+                                  .out_of_rotation = engine_.avoided(),
+                                  .cfg_accepted = counters.reloads,
+                                  .cfg_invalid = counters.reloads_refused});
+}
+
+bool Serving::Suspend(std::string_view agent) {
+  if (!bulletin_.Lists(agent)) return false;
+  Rotate(std::string(agent), true);
+  return true;
+}
+
+bool Serving::Resume(std::string_view agent) {
+  if (!bulletin_.Lists(agent) && !rotation_.IsOut(std::string(agent))) return false;
+  Rotate(std::string(agent), false);
+  return true;
+}
+
+void Serving::Rotate(const std::string& agent, bool out) {
+  bool changed = false;
+  std::vector<NodeId> others;
+  const auto change = [&](const std::optional<std::string>& now) {
+    if (now) others = rotation_.Read(*now, loop_.Now());
+    changed = out ? rotation_.TakeOut(agent) : rotation_.BringBack(agent, loop_.Now());
+    return rotation_.Write();
+  };
+  if (!shared_rotation_ || !shared_rotation_->Change(change)) {
+    if (shared_rotation_) Log("agent %s: not written down: %s", agent.c_str(), std::strerror(errno));
+    if (!shared_rotation_) change(std::nullopt);
+  }
+  for (const NodeId node : others) engine_.Rotated(node);
+  if (!changed) return;
+  Log("agent %s: %s by an operator", agent.c_str(), out ? "taken out" : "called back");
+  engine_.Rotated(NodeOf(agent));
+}
+
+// A call may have reached the other process of this cluster manager, while one takes over.
+void Serving::FollowOthers() {
+  if (!shared_rotation_) return;
+  if (const std::optional<std::string> told = shared_rotation_->Changed()) {
+    for (const NodeId node : rotation_.Read(*told, loop_.Now())) engine_.Rotated(node);
+  }
+  loop_.After(kFollow, [this] { FollowOthers(); });
+}
+
+void Serving::Drain() {
+  if (stop_from_ > 0 || front_.door() == Front::Door::kEmptying) return;
+  Log("drained by an operator: %zu requests to settle, %zu tasks stand", engine_.owed(), engine_.standing());
+  front_.Set(Front::Door::kEmptying);
+}
+
+void Serving::Activate() {
+  if (front_.door() != Front::Door::kEmptying) return;
+  Log("active again, by an operator");
+  front_.Set(Front::Door::kOpen);
+}
+
+// --- Signals ---------------------------------------------------------------------------------------------
+// Guards against a file that cannot be read, or not yet: the settings at hand go on.
+void Serving::Reload() {
+  try {
+    const Config fresh = ConfigFromEnvironment();
+    bulletin_.MoveTo(fresh.bulletin, fresh.known);
+    pool_.SetTimes({fresh.dial_timeout, fresh.keepalive});
+    front_.SetMost(fresh.sockets);
+    ++counters.reloads;
+    Log("configuration read again, bulletin at %s", AddressText(fresh.bulletin).c_str());
+  } catch (const std::exception& error) {
+    ++counters.reloads_refused;
+    Log("configuration not read again: %s", error.what());
+  }
+  if (!sites_) return;
+  try {  // whole or not at all
+    sites_->Take(sites::LoadPlan(files_.sites, deployment_));
+    Log("sites: the plan of %s is followed from now on", files_.sites.c_str());
+  } catch (const std::exception& error) {
+    Log("sites: the plan was not read again, the one before goes on:\n%s", error.what());
+  }
+}
+
+void Serving::Stop() {
+  if (stop_from_ > 0) return;
+  Log("stopping: %zu requests to settle, %zu tasks stand", engine_.owed(), engine_.standing());
+  // Where another process has the socket it accepts from now on, and nothing new comes here but on
+  // connections that are open.
+  stop_from_ = loop_.Now() + (inherited() ? 0 : kLastArrivals);
+  front_.Set(inherited() ? Front::Door::kHandingOver : Front::Door::kLeaving);
+  LookWhetherOver();
+}
+
+void Serving::LookWhetherOver() {
+  const bool over = loop_.Now() >= stop_from_ && engine_.owed() == 0 && front_.idle();
+  if (over && (!inherited() || front_.size() == 0)) {
+    front_.Finish();
+    loop_.After(kLastWords, [this] { loop_.Stop(); });
+  } else {
+    loop_.After(kStopLook, [this] { LookWhetherOver(); });
+  }
+}
+
+void Serving::Print() {
+  counters.Print(stderr);
+  sys::calls.Print(stderr);
+  std::fprintf(stderr, "counter bytes_written %llu\n", static_cast<unsigned long long>(proto::bytes_written));
+  if (counting_build != nullptr) counting_build(stderr);
+  const std::pair<const char*, std::size_t> sizes[] = {
+      {"owed", engine_.owed()},     {"standing", engine_.standing()}, {"owners", front_.size()},
+      {"owed_ends", front_.ends()}, {"listed", engine_.nodes()},      {"module", engine_.module_size()},
+      {"roster", bulletin_.size()}, {"agents", pool_.size()},         {"agent_lines", pool_.lines()},
+      {"agent_open", pool_.open()}, {"blocks", Blocks().live()},      {"deadlines", loop_.deadlines()}};
+  for (const auto& [name, size] : sizes) std::fprintf(stderr, "size %s %zu\n", name, size);
+  if (sites_) {
+    for (const std::string& line : sites_->Describe(loop_.Now())) std::fprintf(stderr, "%s\n", line.c_str());
+  }
+  std::fflush(stderr);
+}
+
+}  // namespace willowrail
--- /dev/null
+++ b/src/roles/serving.h
@@ -0,0 +1,63 @@
+// The parts of a cluster manager that serves, wired to one another; what signals and operators ask of it.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "admin/admin.h"
+#include "admin/operations.h"
+#include "agents/pool.h"
+#include "bulletin/reader.h"
+#include "config/config.h"
+#include "engine/engine.h"
+#include "front/front.h"
+#include "net/loop.h"
+#include "roles/serve.h"
+#include "rotation/rotation.h"
+#include "rotation/shared_file.h"
+#include "sites/sites.h"
+
+namespace willowrail {
+
+class Serving final : public Operations {
+ public:
+  // Throws std::exception, saying what is wrong, where it cannot begin.
+  Serving(Files files, Config config);
+  void Run();  // until a signal has ended it
+
+  bool Ready() const override;
+  std::string Figures() const override;
+  bool Suspend(std::string_view agent) override;
+  bool Resume(std::string_view agent) override;
+  void Drain() override;
+  void Activate() override;
+
+ private:
+  bool inherited() const { return config_.listen_socket >= 0; }
+  void BeginWhenReady();
+  void Reload();
+  void Stop();
+  void LookWhetherOver();
+  void Rotate(const std::string& agent, bool out);
+  void FollowOthers();
+  void Print();
+
+  const Files files_;
+  const Config config_;
+  Loop loop_;
+  const Time started_ = loop_.Now();
+  Time stop_from_ = 0, stop_by_ = 0;  // 0: it goes on
+  sites::Deployment deployment_;
+  std::optional<sites::Sites> sites_;
+  Rotation rotation_{NodeOf};
+  std::optional<SharedFile> shared_rotation_;  // with the process that this one takes over from, and the next
+  Engine engine_;
+  Pool pool_;
+  BulletinReader bulletin_;
+  Front front_;
+  std::optional<Admin> admin_;
+};
+
+}  // namespace willowrail
--- a/src/sites/plan.cpp
+++ b/src/sites/plan.cpp
@@ -153,8 +153,8 @@
   read.Figure(top, "", "version", 1, 1, 1, &plan.version);
 
   const json* verdict = read.Object(*top, "", "verdict",
-                                    {"suspect_share", "least_nodes", "window_ms", "quiet_ms",
-                                     "lost_after_ms", "ask_again_ms", "asked_at_once"});
+                                    {"suspect_share", "least_nodes", "window_ms", "quiet_ms", "lost_after_ms",
+                                     "ask_again_ms", "asked_at_once"});
   WatchTerms& watch = plan.watch;
   read.Figure(verdict, "verdict", "suspect_share", 0.1, 1, 1, &watch.suspect_share);
   read.Figure(verdict, "verdict", "least_nodes", 1, 100, 1, &watch.least);
--- a/src/sites/watch.h
+++ b/src/sites/watch.h
@@ -42,7 +42,7 @@
 const char* Name(State state);
 
 struct WatchTerms {
-  double suspect_share = 0.4;  // of the nodes with evidence that is silent
+  double suspect_share = 0.4;       // of the nodes with evidence that is silent
   int least = 4;                    // silent nodes, or all of a smaller site
   Time window = 2'000'000'000;      // evidence is no older
   Time quiet = 400'000'000;         // questions out, and the whole site has answered nothing for so long
--- /dev/null
+++ b/tests/operations_story_test.cpp
@@ -0,0 +1,209 @@
+// Stories of daily operation: the real program, drained, upgraded and told what to leave out by operators.
+#include <filesystem>
+#include <vector>
+
+#include "story.h"
+#include "story_http.h"
+
+namespace willowrail::story {
+namespace {
+
+constexpr TaskId kTask = 0x7f3a9c21e0b4d655, kOther = 0x1122334455667788;
+
+bool Passes(Wire* owner) {
+  owner->Say(Type::kTest, 1, Cause::kTestFailed);
+  return owner->Hear(Type::kTestResult, 1).cause == 1;
+}
+
+// A bulletin that is read, two agents of which the first is preferred, and a platform that holds the owners'
+// socket over the life of a process.
+struct Operated {
+  Port bulletin, first, second, owners;
+  std::filesystem::path tmp;
+  std::vector<std::unique_ptr<Program>> lives;
+  std::vector<Wire> lists;
+
+  Operated() {
+    std::string name = (std::filesystem::temp_directory_path() / "willowrail-shared-XXXXXX").string();
+    REQUIRE(::mkdtemp(name.data()) != nullptr);
+    tmp = name;
+  }
+  ~Operated() {
+    lives.clear();
+    std::filesystem::remove_all(tmp);
+  }
+  json Nodes() const {
+    return {Node("s-00000001", first.endpoint(), 10), Node("s-00000002", second.endpoint(), 5)};
+  }
+  // Starts one more process and serves it the list; the owners' socket is inherited or its own.
+  Program& Start(bool inherit = true) {
+    lives.push_back(std::make_unique<Program>(Nodes(), bulletin, Settings(), 0, 0,
+                                              Platform{inherit ? owners.socket() : -1, tmp.string(), true}));
+    lists.push_back(bulletin.Accept());
+    lists.back().Bytes();
+    lists.back().Raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n");
+    Until(lives.back()->admin_port(), "/v1/readyz", true);
+    return *lives.back();
+  }
+  Wire Owner() const { return Wire::To(owners.number()); }
+};
+
+TEST_CASE_FIXTURE(Operated,
+                  "an upgrade: the new process serves where the old one did, and the old one ends") {
+  Program& old = Start();
+  Wire before = Owner();
+  Ask(&before, kTask, "unsafe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  Start();
+  old.Signal(SIGTERM);
+  old.Logged("stopping: 1 requests");
+  // Whoever connects from now on meets the new process, though the old one still has a request to settle.
+  Wire after = Owner();
+  Ask(&after, kOther, "unsafe");
+  Wire again = first.Accept();
+  again.Hear(Type::kSetUp, kOther);
+  again.Answer(kOther, "there");
+  CHECK(after.Hear(Type::kAnswer, kOther).description == "there");
+  // What was on its way in the old one is answered by it, on the connection that it came by.
+  agent.Answer(kTask, "here");
+  CHECK(before.Hear(Type::kAnswer, kTask).description == "here");
+  CHECK(before.Closed());
+  CHECK(old.ExitStatus() == 0);
+  CHECK(Passes(&after));
+}
+
+TEST_CASE_FIXTURE(Operated, "an upgrade: a set-up that is half written to the old process is served by it") {
+  Program& old = Start();
+  std::string bytes;
+  {
+    proto::Writer w(&bytes, Type::kSetUp, kTask);
+    w.Add(Code::kClass, "safe").Add(Code::kWait, "25000").Add(Code::kTenant, "shop one");
+    w.Add(Code::kName, "0b5e").Add(Code::kFigures, "cores:1;memory:2;service:0b");
+    w.Add(Code::kDescription, "run");
+  }
+  Wire owner = Owner();
+  CHECK(Passes(&owner));
+  owner.Raw(bytes.substr(0, 20));
+  Start();
+  old.Signal(SIGTERM);
+  old.Logged("stopping");
+  owner.Raw(bytes.substr(20));
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Answer(kTask, "here");
+  CHECK(owner.Hear(Type::kAnswer, kTask).description == "here");
+  CHECK(old.ExitStatus() == 0);
+}
+
+TEST_CASE_FIXTURE(Operated, "an upgrade: what waits in the backlog is not refused, whoever is killed") {
+  Start();
+  Program& fresh = Start();
+  lives.front().reset();  // killed outright
+  Wire owner = Owner();
+  CHECK(Passes(&owner));
+  fresh.Signal(SIGKILL);
+  fresh.ExitStatus();
+  lives.pop_back();
+  Wire waits = Owner();  // nobody is there, and nobody is refused
+  waits.Say(Type::kTest, 1, Cause::kTestFailed);
+  Start();
+  CHECK(waits.Hear(Type::kTestResult, 1).cause == 1);
+}
+
+TEST_CASE_FIXTURE(
+    Operated, "an agent that operators took out gets nothing, whatever the list says, until called back") {
+  Program& program = Start();
+  const int port = program.admin_port();
+  CHECK(Post(port, "/v1/agents/s-00000001/suspend").yes());
+  CHECK(Post(port, "/v1/agents/s-00000001/suspend").yes());
+  CHECK(Post(port, "/v1/agents/s-0000000f/suspend").status == 404);
+  CHECK(FiguresOf(port)["out_of_rotation"] == 1);
+  lists.back().Raw("data: " + Event(2, Nodes(), true).dump() + "\n\n");
+  program.Counted("bulletin_events", 1);
+  Wire owner = Owner();
+  Ask(&owner, kTask, "safe");
+  Wire there = second.Accept();
+  there.Hear(Type::kSetUp, kTask);
+  there.Answer(kTask, "there");
+  owner.Hear(Type::kAnswer, kTask);
+  CHECK_FALSE(first.Dialled());
+
+  // The next process knows of it too, and of what the old one is told later.
+  Program& fresh = Start();
+  CHECK(FiguresOf(fresh.admin_port())["out_of_rotation"] == 1);
+  CHECK(Post(port, "/v1/agents/s-00000002/suspend").yes());
+  const Patience patience;
+  while (FiguresOf(fresh.admin_port())["out_of_rotation"] != 2) patience.Check();
+  CHECK(Post(fresh.admin_port(), "/v1/agents/s-00000001/resume").yes());
+  program.Signal(SIGTERM);
+  CHECK(program.ExitStatus() == 0);
+  Wire again = Owner();
+  Ask(&again, kOther, "safe");
+  first.Accept().Hear(Type::kSetUp, kOther);
+  CHECK(FiguresOf(fresh.admin_port())["out_of_rotation"] == 1);
+}
+
+TEST_CASE_FIXTURE(
+    Operated,
+    "drained, the program says no, lets connections go and serves whoever comes; then it is active again") {
+  Program& program = Start(false);
+  const int port = program.admin_port();
+  Wire idle = program.Owner(), busy = program.Owner();
+  CHECK(Passes(&idle));
+  Ask(&busy, kTask, "unsafe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  CHECK(Post(port, "/v1/cluster-manager/drain").yes());
+  CHECK(Get(port, "/v1/readyz").status == 503);
+  CHECK(idle.Closed());
+  Wire asks = program.Owner();
+  CHECK_FALSE(Passes(&asks));
+  CHECK(asks.Closed());
+  agent.Answer(kTask, "here");
+  CHECK(busy.Hear(Type::kAnswer, kTask).description == "here");
+  CHECK(busy.Closed());
+  // Within a second: active, drained, active.
+  CHECK(Post(port, "/v1/cluster-manager/activate").yes());
+  CHECK(Post(port, "/v1/cluster-manager/drain").yes());
+  CHECK_FALSE(Get(port, "/v1/readyz").yes());
+  CHECK(Post(port, "/v1/cluster-manager/activate").yes());
+  CHECK(Get(port, "/v1/readyz").yes());
+  Wire after = program.Owner();
+  CHECK(Passes(&after));
+  // The task that stood all the while is over: that is told on whatever way is there.
+  agent.Say(Type::kRelease, kTask, Cause::kEnded);
+  CHECK(after.Hear(Type::kRelease, kTask).cause == 16);
+}
+
+TEST_CASE_FIXTURE(Operated, "each way a request can end is counted once, for its class") {
+  Program& program = Start(false);
+  const int port = program.admin_port();
+  Wire owner = program.Owner();
+  Ask(&owner, kTask, "unsafe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  json figures = FiguresOf(port);
+  CHECK(figures["open_requests"] == 1);
+  CHECK(figures["relayed"] == 1);
+  CHECK(figures["registry_entries"] == 2);
+  CHECK(figures["out_of_rotation"] == 0);
+  agent.Answer(kTask, "here");
+  owner.Hear(Type::kAnswer, kTask);
+  Ask(&owner, kOther, "unsafe");
+  agent.Hear(Type::kSetUp, kOther);
+  agent.Say(Type::kRelease, kOther, Cause::kReset);
+  owner.Hear(Type::kRelease, kOther);
+  agent.Say(Type::kRelease, kTask, Cause::kEnded);
+  owner.Hear(Type::kRelease, kTask);
+  figures = FiguresOf(port);
+  CHECK(figures["open_requests"] == 0);
+  CHECK(figures["fulfilled"]["unsafe"] == 1);
+  CHECK(figures["faulted"]["unsafe"] == 1);
+  CHECK(figures["throttled"]["unsafe"] == 0);
+  CHECK(figures["fulfilled"]["safe"] == 0);
+  CHECK(figures["cfg_invalid"] == 0);
+}
+
+}  // namespace
+}  // namespace willowrail::story
--- a/tests/story.h
+++ b/tests/story.h
@@ -182,6 +182,7 @@
   Port& operator=(const Port&) = delete;
 
   int number() const { return number_; }
+  int socket() const { return socket_; }
   std::string endpoint() const { return "127.0.0.1:" + std::to_string(number_); }
   bool Dialled(int ms = 0) const {
     pollfd wait{socket_, POLLIN, 0};
@@ -244,11 +245,17 @@
       {"Kinds", {"std"}}};
 }
 
+struct Platform {      // what more it gives a process on the operators' days
+  int listening = -1;  // a socket that listens already, inherited; -1: none
+  std::string tmp;     // TMPDIR, shared with the process that comes after; empty: the process's own
+  bool admin = false;  // an address for operators
+};
+
 class Program {
  public:
   // `limit`: descriptors it may hold, 0 for the usual; `told`: as its configuration has it, 0 for the same.
   Program(const json& nodes, const Port& bulletin, const json& settings = Settings(), rlim_t limit = 0,
-          rlim_t told = 0) {
+          rlim_t told = 0, const Platform& platform = {}) {
     folder_ = std::filesystem::temp_directory_path() / "willowrail-story-XXXXXX";
     std::string name = folder_.string();
     REQUIRE(::mkdtemp(name.data()) != nullptr);
@@ -263,6 +270,7 @@
                {"bulletin", bulletin.endpoint()},
                {"known", {{"no", 1}, {"items", {Event(1, nodes, true)}}}},
                {"settings", settings}};
+    if (platform.admin) config_["admin_addr"] = "127.0.0.1:0";
     Configure(config_.dump());
     int log[2];
     REQUIRE(::pipe(log) == 0);
@@ -271,7 +279,14 @@
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it does not outlive a test that is killed
       ::setenv("ROUTER_CONFIG", (folder_ / "config.json").c_str(), 1);
       ::dup2(log[1], STDERR_FILENO);
-      for (int i = 3; i < 256; ++i) ::close(i);
+      if (platform.listening >= 0) {
+        ::dup2(platform.listening, kInherited);
+        ::setenv("ROUTER_LISTEN_FD", std::to_string(kInherited).c_str(), 1);
+      }
+      for (int i = 3; i < 256; ++i) {
+        if (platform.listening < 0 || i != kInherited) ::close(i);
+      }
+      ::setenv("TMPDIR", (platform.tmp.empty() ? folder_.string() : platform.tmp).c_str(), 1);
       const rlimit most{limit, limit};
       if (limit > 0) ::setrlimit(RLIMIT_NOFILE, &most);
       ::execl(WILLOWRAIL_PROGRAM, "willowrail", nullptr);
@@ -280,6 +295,7 @@
     ::close(log[1]);
     log_ = log[0];
     port_ = std::stoi(Logged("listens on 127.0.0.1:"));
+    if (platform.admin) admin_port_ = std::stoi(Logged("operators are listened to on 127.0.0.1:"));
   }
   ~Program() {
     if (process_ > 0) {
@@ -295,6 +311,7 @@
   const json& config() const { return config_; }
   void Configure(const std::string& text) const { std::ofstream(folder_ / "config.json") << text; }
   Wire Owner() const { return Wire::To(port_); }
+  int admin_port() const { return admin_port_; }
   void Signal(int number) const { ::kill(process_, number); }
   // The rest of the first line that holds `text`, read on from the last one found.
   std::string Logged(const std::string& text) {
@@ -331,10 +348,11 @@
   }
 
  private:
+  static constexpr int kInherited = 7;
   std::filesystem::path folder_;
   json config_;
   pid_t process_ = -1;
-  int log_ = -1, port_ = 0;
+  int log_ = -1, port_ = 0, admin_port_ = 0;
   std::string read_;
 };
 
