Let a running scheduler take other settings, close, and count the nodes it avoids

Operators change classes and limits of a running cluster manager, hand it over to another process, and want to see how many nodes are left out. The decision module knew one set of settings for its whole life.

- SettingsChanged replaces the settings: classes begin with the learned figures of the position that the event names, what is reckoned from the settings (index, own part, cold nodes, what is due) is reckoned anew, and settings that Check refuses are logged while the old ones stay.
A request keeps the tries of its arrival at most; keeping whole old settings per request was weighed and left out, since only max_tries binds it.
- Closing caps every deadline and sends cold nodes nothing more: the process that follows spends their budget.
- Scheduler::avoided counts listed nodes that drain or were set aside.

--- a/include/passbridge/scheduler.h
+++ b/include/passbridge/scheduler.h
@@ -187,8 +187,19 @@
   std::string body;
 };
 struct SitesChanged {};  // the site plan says something else than before
+// Other settings from now on; what the constructor would not take is logged, and the old ones stay. A class
+// or tenant keeps its position as long as a request or standing task is of it. Open requests get no more
+// tries than they had at first.
+struct SettingsChanged {
+  std::shared_ptr<const Settings> settings;
+  // By class: the position whose learned figures it begins with, its own to keep them, -1: as at the start.
+  std::vector<int> learns_from;
+};
+struct Closing {  // this process ends then, and all that is owed is answered by then
+  Time by = 0;
+};
 using Event = std::variant<RosterChanged, TaskArrived, TaskFound, Placed, AttemptEnded, Withdrawn, Noted,
-                           Probed, TimerFired, PeerSaid, SitesChanged>;
+                           Probed, TimerFired, PeerSaid, SitesChanged, SettingsChanged, Closing>;
 
 // Actions.
 struct Offer {
@@ -267,6 +278,8 @@
   std::size_t size() const;
   // Nodes and entries of the index looked at since the start: what its picks cost, without a clock.
   std::uint64_t looked() const;
+  // How many listed nodes get nothing now because they drain or were set aside.
+  std::size_t avoided() const;
   // Whether anything of the request is remembered; once it is not, its number may be given to another.
   bool Holds(RequestId id) const;
 
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -4,12 +4,11 @@
 // AnswerDue.
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <limits>
 #include <optional>
-#include <queue>
-#include <random>
 #include <set>
+#include <stdexcept>
+#include <string>
 #include <tuple>
 #include <utility>
 
@@ -19,8 +18,6 @@
 namespace passbridge {
 namespace {
 
-using willowrail::RatioIndex;
-
 // --- Tuned values: unit and reason ----------------------------------------------------------------------
 constexpr double kRhoMemory = 0.5;  // the paper leaves the factors open but for their sum: both count alike
 constexpr double kRhoCores = 1 - kRhoMemory;
@@ -68,51 +65,18 @@
 constexpr Time kIndexEvery = 250 * kMs;
 constexpr double kDrift = 0.01;
 
-using Pace = willowrail::DecayingRate;  // how often something happens here, in the last while
-
 }  // namespace
 
-struct Scheduler::State {
-  using Due = std::pair<Time, RequestId>;
-  Settings settings;
-  std::mt19937_64 random;
-  NodeTable table;
-  const std::vector<Node*>& nodes = table.ordered();  // by number, as every scheduler has them
-  std::vector<Node*> struck, dirty, cold,
-      homes;                              // set aside; unknown to the index; cold when listed; its part
-  std::vector<RatioIndex> index;          // by kind
-  bool indexed = false, at_home = false;  // at_home: the choice at hand
-  Time index_at = 0;
-  UseSums sums;
-  Room mean_indexed{1, 1};
-  std::uint64_t turn = 0, looked = 0;
-  willowrail::NamedTable<RequestId, Request> requests;
-  willowrail::NumberSet<RequestId> held;
-  ServiceTable services;
-  std::priority_queue<Due, std::vector<Due>, std::greater<>> due;  // what is owed, by when
-  std::vector<Candidate> scores;  // these are of one choice or turn, and keep their memory
-  std::vector<Node*> poor;
-  std::vector<Around> around;
-  std::vector<Waiting> order;
-  std::vector<std::uint64_t> full;
-  std::vector<Seen> seen;  // by class
-  TenantCores tenants;
-  std::vector<Action> out;
-  Time now = 0, started = 0, next_wake = 0, probe_at = 0, armed = 0;
+struct Scheduler::State : Remembered {
   Pace arrivals{kRateAtFirst, kRateOver}, ends{kRateAtFirst, kRateOver};
-  double mean_answer = 0, mean_level = 0;  // nanoseconds; asked cores over cores, of all nodes
-  int said = 0;
-  bool begun = false, probed = false;
-  SitePlan* sites = nullptr;  // the plan for lost ones, where there is one
-  Subscription list;
-  Lag lag;  // of the list
 
   std::size_t Index(const Task& task) const {
     return std::min<std::size_t>(task.class_index, settings.classes.size() - 1);
   }
   const ClassSettings& ClassOf(const Task& task) const { return settings.classes[Index(task)]; }
   double Draw() { return static_cast<double>(random() >> 11) / 9007199254740992.0; }
-  Time AnswerBy(const Request& r) const { return r.task.deadline - 2 * settings.period; }
+  Time AnswerBy(const Request& r) const { return std::min(r.task.deadline, closing) - 2 * settings.period; }
+  int Tries(const Request& r) const { return std::min(r.tries, settings.max_tries); }
   double Cores(const Node& n) const { return settings.kind_cores[Kind(n)]; }
   double Memory(const Node& n) const { return settings.kind_memory[Kind(n)]; }
   std::size_t Kind(const Node& n) const {
@@ -153,8 +117,10 @@
   // Rule 4: a cold node gets no more than this scheduler's part of the sends it always survives; where that
   // is less than one, groups of half as many take turns by the common clock, one send each, so that no window
   // meets more than two. One just restarted does not know what it sent, and waits a window or turn.
+  // After Closing another process of the same cluster manager spends the budget.
   bool ColdAllows(Node* n) const {
     if (!Cold(*n)) return true;
+    if (closing != kNever) return false;
     const Time window = static_cast<Time>(kFallMargin * static_cast<double>(settings.fall));
     std::erase_if(n->cold_sends, [&](Time sent) { return sent + window <= now; });
     if (n->entry.came_up <= started && now - started < window) return false;
@@ -255,6 +221,13 @@
       }
     }
   }
+  Seen AtFirst(const ClassSettings& c) const {
+    Seen s;
+    const std::size_t kind = c.kind;
+    if (kind < settings.kind_cores.size())
+      s.largest = {kGuess * settings.kind_cores[kind], kGuess * settings.kind_memory[kind]};
+    return s;
+  }
   void NoteSize(const Task& t) {
     Seen& s = seen[Index(t)];
     if (std::exchange(s.guessed, false)) s.largest = {};
@@ -418,6 +391,8 @@
   }
   // In which zone the others are is not told: that they stand in turn, by number, is as good a guess as any.
   void FindOwnPart() {
+    cold.clear();
+    std::ranges::copy_if(nodes, std::back_inserter(cold), [this](const Node* n) { return Cold(*n); });
     homes.clear();
     std::set<int> zones;
     for (const Node* n : nodes) zones.insert(n->entry.zone);
@@ -468,9 +443,10 @@
                           (kMemoryBrink * Memory(*n) - (1 - 2 * kDrift) * used.memory) / n->weigh.memory}});
   }
   // After the list has changed. A few nodes are scanned faster than an index of them is kept.
-  void IndexOrNot() {
+  void IndexOrNot(bool anew = false) {
     const bool many = settings.view && settings.fleet_price <= 0 && nodes.size() > kIndexFrom;
-    if (many == std::exchange(indexed, many)) return;
+    if (many == std::exchange(indexed, many) && !anew) return;
+    for (const RatioIndex& each : index) looked += each.looked();
     index.assign(many ? settings.kind_cores.size() : 0, {});
     dirty.clear();
     for (Node* n : nodes) {
@@ -522,7 +498,7 @@
   // Cut short, an unsafe attempt could only fail, and a start under way would be done twice: only what takes
   // far longer than the others is taken for lost. Hurts where one node is that much slower.
   Time Until(const Request& r) const {
-    if (ClassOf(r.task).effect == Effect::kUnsafe || r.attempts >= settings.max_tries) return AnswerBy(r);
+    if (ClassOf(r.task).effect == Effect::kUnsafe || r.attempts >= Tries(r)) return AnswerBy(r);
     const bool runs = settings.placed_when_running;
     const Time wanted = static_cast<Time>((runs ? kStartMeans : kTimeoutMeans) * mean_answer);
     if (runs) return std::min(AnswerBy(r), now + std::max(wanted, kStartLeast));
@@ -554,7 +530,7 @@
   }
   // Offers the task where it fits, holds it where it fits nowhere, answers where nothing more can come.
   void Place(Request* r) {
-    if (Stuck(*r) || r->attempts >= settings.max_tries || now >= AnswerBy(*r) || Spared(*r) || Tied(*r)) {
+    if (Stuck(*r) || r->attempts >= Tries(*r) || now >= AnswerBy(*r) || Spared(*r) || Tied(*r)) {
       Answer(r);
       return;
     }
@@ -622,7 +598,6 @@
   }
   // One timer stands for all: the first moment at which something is due though nothing happens.
   void WakeNext() {
-    constexpr Time kNever = std::numeric_limits<Time>::max();
     Time next = due.empty() ? kNever : due.top().first;
     if (!held.empty()) next = std::min(next, next_wake);
     if (probed) next = std::min(next, probe_at);
@@ -699,8 +674,6 @@
       n.heard = n.heard || settings.view;
       Changed(&n);
     }
-    cold.clear();
-    std::ranges::copy_if(nodes, std::back_inserter(cold), [this](const Node* n) { return Cold(*n); });
     for (Node* n : nodes) {
       if (n->own.empty()) continue;
       Leave(n, [this](const OwnChange& c) { return c.at + 2 * Lag::kMost < list.heard_at; });
@@ -732,6 +705,7 @@
   void On(const TaskArrived& e) {
     Request& r = *requests.Insert(e.task.id, {});
     r.task = e.task;
+    r.tries = settings.max_tries;
     NoteSize(r.task);
     due.emplace(AnswerBy(r), e.task.id);
     if (sites != nullptr) r.rank = sites->RankOf(r.task, OverShare(r.task), Large(r.task), now);
@@ -892,7 +866,38 @@
       const ClassSettings& c = ClassOf(r.task);
       const bool elsewhere =
           c.effect == Effect::kSafe || (c.effect == Effect::kKeyed && c.group == Place::kAll);
-      if (elsewhere && r.attempts < settings.max_tries) out.push_back(Retract{r.task.id, r.attempts - 1});
+      if (elsewhere && r.attempts < Tries(r)) out.push_back(Retract{r.task.id, r.attempts - 1});
+    });
+    next_wake = now;
+  }
+  // The books stay; what is reckoned from the settings, the index among it, is reckoned anew.
+  void On(const SettingsChanged& e) {
+    try {
+      if (e.settings == nullptr) throw std::invalid_argument("none were given");
+      Check(*e.settings);
+    } catch (const std::invalid_argument& error) {
+      out.push_back(Log{std::string("new settings are not taken: ") + error.what()});
+      return;
+    }
+    settings = *e.settings;
+    const std::vector<Seen> before = std::exchange(seen, {});
+    for (std::size_t i = 0; i < settings.classes.size(); ++i) {
+      const std::size_t from = i < e.learns_from.size() ? e.learns_from[i] : before.size();
+      seen.push_back(from < before.size() ? before[from] : AtFirst(settings.classes[i]));
+    }
+    tenants.cores.resize(std::max(tenants.cores.size(), settings.tenants.size()));
+    IndexOrNot(true);
+    FindOwnPart();
+    OrderDue();
+  }
+  void On(const Closing& e) {
+    closing = e.by;
+    OrderDue();
+  }
+  void OrderDue() {  // after a change of AnswerBy; what waits is looked at again
+    due = {};
+    requests.ForEach([this](const Request& r) {
+      if (r.owed) due.emplace(AnswerBy(r), r.task.id);
     });
     next_wake = now;
   }
@@ -901,18 +906,17 @@
 
 Scheduler::Scheduler(Settings settings, std::uint64_t seed) : state_(std::make_unique<State>()) {
   Check(settings);
-  state_->seen.resize(settings.classes.size());
-  for (std::size_t i = 0; i < settings.classes.size(); ++i) {
-    const std::size_t kind = settings.classes[i].kind;
-    if (kind >= settings.kind_cores.size()) continue;
-    state_->seen[i].largest = {kGuess * settings.kind_cores[kind], kGuess * settings.kind_memory[kind]};
-  }
-  state_->tenants.cores.assign(settings.tenants.size(), 0);
   state_->settings = std::move(settings);
+  for (const ClassSettings& c : state_->settings.classes) state_->seen.push_back(state_->AtFirst(c));
+  state_->tenants.cores.assign(state_->settings.tenants.size(), 0);
   state_->random.seed(seed);
 }
 Scheduler::~Scheduler() = default;
 std::size_t Scheduler::size() const { return state_->nodes.size() + state_->services.size(); }
+std::size_t Scheduler::avoided() const {
+  return std::ranges::count_if(state_->nodes,
+                               [this](const Node* n) { return n->listed && !state_->Healthy(*n); });
+}
 std::uint64_t Scheduler::looked() const {
   std::uint64_t all = state_->looked;
   for (const RatioIndex& each : state_->index) all += each.looked();
--- a/src/logic_state.h
+++ b/src/logic_state.h
@@ -5,7 +5,10 @@
 #include <array>
 #include <cmath>
 #include <cstdint>
+#include <functional>
 #include <limits>
+#include <queue>
+#include <random>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -22,6 +25,7 @@
 void Check(const Settings& settings);
 
 constexpr Time kMs = 1'000'000, kSecond = 1000 * kMs;
+constexpr Time kNever = std::numeric_limits<Time>::max();
 constexpr double kNoLimit = std::numeric_limits<double>::infinity();
 
 struct Room {
@@ -116,7 +120,7 @@
   bool owed = true;  // the owner still waits for the final answer
   bool out = false;  // an attempt has no result yet
   bool placed = false, may_have_run = false;
-  int attempts = 0;
+  int attempts = 0, tries = 0;      // tries: the most attempts, as the settings were at its arrival
   NodeId node = 0, first_node = 0;  // of the attempt that is out; of the first that may have run
   Time sent = 0, first_sent = 0;
   Room use;               // booked at its node
@@ -256,7 +260,6 @@
     pause = kAskFirst;
   }
   Time Next(Time now, Time patience) const {
-    constexpr Time kNever = std::numeric_limits<Time>::max();
     const Time again = asked_at + patience + kMs;
     return std::min(!subscribed && !asked ? ask_at : kNever, again > now ? again : kNever);
   }
@@ -289,4 +292,44 @@
   std::array<double, kSteps> misses_{};
 };
 
+using willowrail::RatioIndex;
+using Pace = willowrail::DecayingRate;  // how often something happens here, in the last while
+
+// What a scheduler holds from one event to the next.
+struct Remembered {
+  using Due = std::pair<Time, RequestId>;
+  Settings settings;
+  std::mt19937_64 random;
+  NodeTable table;
+  const std::vector<Node*>& nodes = table.ordered();  // by number, as every scheduler has them
+  std::vector<Node*> struck, cold, homes;             // set aside; cold when listed; the own part
+  std::vector<Node*> dirty;                           // unknown to the index
+  std::vector<RatioIndex> index;                      // by kind
+  bool indexed = false, at_home = false;              // at_home: the choice at hand
+  Time index_at = 0;
+  UseSums sums;
+  Room mean_indexed{1, 1};
+  std::uint64_t turn = 0, looked = 0;
+  willowrail::NamedTable<RequestId, Request> requests;
+  willowrail::NumberSet<RequestId> held;
+  ServiceTable services;
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> due;  // what is owed, by when
+  std::vector<Candidate> scores;  // these are of one choice or turn, and keep their memory
+  std::vector<Node*> poor;
+  std::vector<Around> around;
+  std::vector<Waiting> order;
+  std::vector<std::uint64_t> full;
+  std::vector<Seen> seen;  // by class
+  TenantCores tenants;
+  std::vector<Action> out;
+  Time now = 0, started = 0, next_wake = 0, probe_at = 0, armed = 0;
+  Time closing = kNever;                   // when this process ends
+  double mean_answer = 0, mean_level = 0;  // nanoseconds; asked cores over cores, of all nodes
+  int said = 0;
+  bool begun = false, probed = false;
+  SitePlan* sites = nullptr;  // the plan for lost ones, where there is one
+  Subscription list;
+  Lag lag;  // of the list
+};
+
 }  // namespace passbridge
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -5,107 +5,11 @@
 #include <map>
 #include <set>
 
-#include "passbridge/scheduler.h"
+#include "logic_driver.h"
 
 namespace passbridge {
 namespace {
 
-constexpr Time kMs = 1'000'000;
-constexpr Time kSecond = 1000 * kMs;
-
-// The tests name requests by words; the module by numbers, which go up in the order in which the words come.
-RequestId Id(const std::string& word) {
-  static std::map<std::string, RequestId> numbers;
-  return numbers.try_emplace(word, numbers.size() + 1).first->second;
-}
-
-Report Cpu(double share) {
-  Report report;
-  report.Tell(Report::kCpu, share);
-  return report;
-}
-
-// A small fleet of our own making: two kinds, a safe, a keyed and an unsafe class.
-Settings Basic() {
-  Settings s;
-  s.classes.resize(3);
-  s.classes[0].effect = Effect::kSafe;
-  s.classes[1].effect = Effect::kKeyed;
-  s.classes[1].group = Place::kZone;
-  s.classes[1].key_window = 3 * kSecond;
-  s.classes[2].effect = Effect::kUnsafe;
-  for (ClassSettings& c : s.classes) {
-    c.aim = kSecond;
-    c.deadline = 8 * kSecond;
-  }
-  s.kind_cores = {16, 32};
-  s.kind_memory = {32, 64};
-  s.mean_cores = 1;
-  s.mean_memory = 2;
-  s.view = true;
-  s.probing = true;
-  s.cancelling = true;
-  s.max_tries = 4;
-  s.cold_sends = 4;
-  s.cold = 10 * kSecond;
-  s.cold_from = 0.2;
-  s.fall = kSecond;
-  s.drain_grace = kSecond;
-  s.period = 2 * kMs;
-  s.answer_slack = 8 * kMs;
-  s.ask_within = 10 * kSecond;
-  return s;
-}
-
-NodeEntry Entry(NodeId id, double free_cores = 16, double free_memory = 32) {
-  NodeEntry e;
-  e.node = id;
-  e.free_cores = free_cores;
-  e.free_memory = free_memory;
-  return e;
-}
-
-template <typename A>
-std::vector<A> Only(const std::vector<Action>& actions) {
-  std::vector<A> found;
-  for (const Action& action : actions) {
-    if (const A* a = std::get_if<A>(&action)) found.push_back(*a);
-  }
-  return found;
-}
-
-// Drives one scheduler and keeps the clock.
-struct Driver {
-  explicit Driver(const Settings& settings, std::uint64_t seed = 1) : scheduler(settings, seed) {}
-
-  std::vector<Action> Send(const Event& event) { return scheduler.Handle(event, now); }
-  std::vector<Action> Roster(std::vector<NodeEntry> entries, RosterKind kind = RosterKind::kFull) {
-    return Send(RosterChanged{kind, 1, std::make_shared<const std::vector<NodeEntry>>(std::move(entries))});
-  }
-  std::vector<Action> Arrive(const std::string& id, int class_index = 0, double cores = 1, double memory = 2,
-                             std::uint64_t service = 7) {
-    Task task;
-    task.id = Id(id);
-    task.class_index = class_index;
-    task.cores = cores;
-    task.memory = memory;
-    task.service = service;
-    task.deadline = now + 8 * kSecond;
-    return Send(TaskArrived{task});
-  }
-  std::vector<Action> End(const std::string& id, int attempt, NodeId node, Outcome outcome, bool done = false,
-                          Reason reason = Reason::kUntold) {
-    return Send(AttemptEnded{Id(id), attempt, node, outcome, kMs, done, reason, {}});
-  }
-  std::vector<Action> Wait(Time time) {
-    now += time;
-    return Send(TimerFired{});
-  }
-
-  Scheduler scheduler;
-  Time now = 100 * kSecond;
-};
-
 TEST(Settings, WhatCannotBeWorkedWithIsNamed) {
   Settings none = Basic();
   none.kind_cores.clear();
