Tell which later configuration files may be taken, whole or not at all

On SIGHUP a file must be turned down whole if it is empty, cut short, lacks a key, or has a deadline or a number of attempts that is no number above 0. So far only what no scheduler can work with was refused.

CompareShape holds a later file to the keys and the kinds of values that the first one had, each class to its rules; Describe makes a line of the log of a complaint. Rejected: a fixed list of keys that have to be there. Sites differ in them, and a key that is lost would count as one that was never given.

A list with an entry for each class may be shorter than the classes are once one is added: its last entry serves for the rest, instead of the defaults.

--- /dev/null
+++ b/src/config/shape.h
@@ -0,0 +1,29 @@
+// Whether a later configuration file may take the place of the first: a file that is cut short, or has lost
+// a key, is turned down whole, so that half of one never comes into force. Free of I/O.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace willowrail {
+
+struct Complaint {
+  std::string path;    // as settings.Services[2].Deadline
+  std::string said;    // the value found, or "missing"
+  std::string wanted;  // what is legal
+};
+
+// The object that the text holds. Throws std::runtime_error, which names the file, the place and what is
+// wrong, where the text is empty, cut short, something else, or goes on after its end.
+nlohmann::json ParseConfig(std::string_view text, const std::string& file);
+
+// What keeps a later file from being taken: whatever the first file had and this one lacks, a value of
+// another type, a deadline or a number of attempts that is no number above 0. Empty: it may be taken, whole.
+std::vector<Complaint> CompareShape(const nlohmann::json& first, const nlohmann::json& fresh);
+
+// As settings.Services[2].Deadline: "soon"; write a number of nanoseconds above 0
+std::string Describe(const Complaint& complaint);
+
+}  // namespace willowrail
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -1,5 +1,6 @@
 #include "wire/settings.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <string_view>
@@ -91,6 +92,13 @@
   std::map<std::string, std::string_view, std::less<>> values_;
 };
 
+// The entry of class i in a list with one for each class, null where the list is empty: where classes were
+// added and the list was not, its last entry serves for the rest.
+template <typename T>
+const T* EntryOf(const std::vector<T>& list, std::size_t i) {
+  return list.empty() ? nullptr : &list[std::min(i, list.size() - 1)];
+}
+
 void ReadClasses(const Pairs& pairs, Settings* settings) {
   const Words effects = {{"pure", static_cast<int>(Effect::kSafe)},
                          {"token", static_cast<int>(Effect::kKeyed)},
@@ -120,14 +128,14 @@
     pairs.When(path + "KeyTtl", &each.key_window);
     pairs.Number(path + "Worth", &each.worth);
     pairs.Number(path + "LateShare", &each.late_share);
-    if (i < calm.size()) each.calm = calm[i];
-    if (i < fade.size()) each.fade = fade[i];
-    if (i < kind.size()) each.kind = static_cast<int>(kind[i]);
-    if (i < priority.size()) each.priority = static_cast<int>(priority[i]);
-    if (i < most.size()) each.most = static_cast<int>(most[i]);
-    if (i < start.size()) each.start_seconds = start[i];
-    if (i < apart.size()) {
-      each.apart_by = static_cast<Place>(pairs.Word(family + "ApartBy", apart[i], places));
+    if (const double* entry = EntryOf(calm, i)) each.calm = *entry;
+    if (const double* entry = EntryOf(fade, i)) each.fade = *entry;
+    if (const double* entry = EntryOf(kind, i)) each.kind = static_cast<int>(*entry);
+    if (const double* entry = EntryOf(priority, i)) each.priority = static_cast<int>(*entry);
+    if (const double* entry = EntryOf(most, i)) each.most = static_cast<int>(*entry);
+    if (const double* entry = EntryOf(start, i)) each.start_seconds = *entry;
+    if (const std::string_view* entry = EntryOf(apart, i)) {
+      each.apart_by = static_cast<Place>(pairs.Word(family + "ApartBy", *entry, places));
     }
   }
 }
