--- a/include/passbridge/scheduler.h
+++ b/include/passbridge/scheduler.h
@@ -54,6 +54,8 @@
   int priority = 0;
   Place apart_by = Place::kNone;
   int most = 0;
+
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct TenantSettings {
