--- a/.ci/check_rooms.py
+++ b/.ci/check_rooms.py
@@ -12,7 +12,9 @@
 src = root / "src"
 module = re.search(r"target_link_libraries\(passbridge PRIVATE ([^)]*)\)", (src / "CMakeLists.txt").read_text())
 uses = {"passbridge": {word.removeprefix("willowrail_") for word in (module.group(1).split() if module else [])}}
-files = {"passbridge": [*sorted(src.glob("logic*")), *sorted((root / "include").rglob("*.h"))]}
+# The decision module: installed under a name of its own, its files in a folder that no other room may see into.
+MODULE = "decide"
+files = {"passbridge": [*sorted((src / MODULE).glob("*.*")), *sorted((root / "include").rglob("*.h"))]}
 for cmake in sorted(src.glob("*/CMakeLists.txt")):
     text = cmake.read_text()
     declared = re.search(r"willowrail_room\(\s*(\w+)([^)]*)\)", text)
@@ -53,7 +55,7 @@
             if found is None:
                 continue
             includes += 1
-            if found.group(1) not in uses[room] | {room}:
+            if found.group(1) not in uses[room] | ({room, MODULE} if room == "passbridge" else {room}):
                 print(f"{file}:{number}: includes from {found.group(1)}, which src/{room}/CMakeLists.txt does not declare")
                 bad += 1
 print(f"rooms: {len(uses)}, includes between and within them: {includes}, not declared: {bad}")
--- a/Makefile
+++ b/Makefile
@@ -32,10 +32,11 @@
 	@.ci/setup build test
 	cmake --workflow --preset ci
 
-lint: ## clang-format, what each room includes, whether the lists of packages agree
+lint: ## clang-format, what each room includes, sizes of files, whether the lists of packages agree
 	@.ci/setup lint
 	clang-format --dry-run --Werror $(SOURCES)
 	python3 .ci/check_rooms.py
+	python3 .ci/check_sizes.py
 	python3 .ci/check_packages.py
 
 run: build ## the program; needs ROUTER_CONFIG, the path of a configuration as the README describes it
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -207,7 +207,7 @@
                 parts = place.split("/src/")
                 if len(parts) > 1 and place.startswith(str(ROOT)):
                     name = parts[-1].split("/")
-                    return ("module" if name[0].startswith("logic.cpp") else name[0] if len(name) > 1 else "main",
+                    return ("module" if name[0] == "decide" else name[0] if len(name) > 1 else "main",
                             function, parts[-1])
                 if "/include/passbridge/" in place:
                     return ("module", function, place.rsplit("/", 1)[1])
--- a/include/passbridge/scheduler.h
+++ b/include/passbridge/scheduler.h
@@ -1,5 +1,5 @@
 // The interface of passbridge: what a scheduler is told (settings, events) and what it orders (actions).
-// Types only; every decision is in src/logic.cpp. All times are nanoseconds of the caller's event clock.
+// Types only; every decision is in src/decide. All times are nanoseconds of the caller's event clock.
 // A request is named by a number of the caller's choice, which may come again once the request is over.
 #pragma once
 
--- a/src/logic_check.cpp
+++ b/src/decide/check.cpp
@@ -3,7 +3,7 @@
 #include <stdexcept>
 #include <string>
 
-#include "logic_state.h"
+#include "decide/memory.h"
 
 namespace passbridge {
 
--- a/src/logic_state.h
+++ b/src/decide/memory.h
@@ -1,4 +1,5 @@
-// What the decision module remembers: records and tables, no rule. Every rule on them is in logic.cpp.
+// What the decision module remembers: records and tables, no rule. Every rule on them is in the files under
+// policy in deploy/balancer.toml.
 #pragma once
 
 #include <algorithm>
@@ -330,6 +331,43 @@
   SitePlan* sites = nullptr;  // the plan for lost ones, where there is one
   Subscription list;
   Lag lag;  // of the list
+
+  std::size_t Index(const Task& task) const {
+    return std::min<std::size_t>(task.class_index, settings.classes.size() - 1);
+  }
+  const ClassSettings& ClassOf(const Task& task) const { return settings.classes[Index(task)]; }
+  std::size_t Kind(const Node& n) const {
+    return std::min<std::size_t>(n.entry.kind, settings.kind_cores.size() - 1);
+  }
+  double Cores(const Node& n) const { return settings.kind_cores[Kind(n)]; }
+  double Memory(const Node& n) const { return settings.kind_memory[Kind(n)]; }
+  double Draw() { return static_cast<double>(random() >> 11) / 9007199254740992.0; }
+  const Room& Used(const Node& n) const { return n.Used(sums); }
+  Room BookedUse(const Task& task) const { return seen[Index(task)].Use(task); }
+
+  // To be called after whatever changes the room, use or health of a node.
+  void Changed(Node* n) {
+    const Room& own = n->not_in_view;
+    n->asked = {std::max(0.0, Cores(*n) - n->entry.free_cores + own.cores),
+                std::max(0.0, Memory(*n) - n->entry.free_memory + own.memory)};
+    n->used_at = 0;
+    if (indexed && !std::exchange(n->dirty, true)) dirty.push_back(n);
+  }
+  void Enter(Node* n, RequestId id, double sign, const Task& task) {
+    n->Enter(id, now, {sign * task.cores, sign * task.memory});
+    Changed(n);
+  }
+  template <typename Which>
+  void Leave(Node* n, Which which) {
+    n->Leave(list.heard_at - lag.value(), which);
+    Changed(n);
+  }
+  void Book(Node* n, const Request& r, double sign) {
+    n->held.Add(sign, {r.task.cores, r.task.memory});
+    n->used.Add(sign, r.use);
+    sums.Book(sign, {r.task.cores, r.task.memory}, r.use);
+    Changed(n);
+  }
 };
 
 }  // namespace passbridge
--- /dev/null
+++ b/src/decide/roster.h
@@ -0,0 +1,75 @@
+// The node list: asked for, taken over, and what is forgotten with it.
+#pragma once
+
+#include "decide/attempts.h"
+
+namespace passbridge::decide {
+
+struct Roster : Attempts {
+  using Attempts::On;
+
+  void Ask() {
+    if (settings.ask_discovery && list.Ask(now, Patience())) out.push_back(Subscribe{true});
+  }
+  Time Patience() const {
+    return settings.ask_within > 0 ? std::min(kSilence, settings.ask_within / 2) : kSilence;
+  }
+  void On(const RosterChanged& e) {
+    if (e.kind == RosterKind::kFailed) {
+      if (list.Failed(now, Draw())) Say("the node list is out of reach, asking again");
+      return;
+    }
+    list.Heard(now, e.kind != RosterKind::kCached);
+    if (e.kind != RosterKind::kDelta) {
+      for (Node* n : nodes) {
+        n->listed = false;
+        Changed(n);
+      }
+    }
+    for (const NodeEntry& entry : *e.entries) {
+      Node& n = *table.FindOrInsert(entry.node);
+      if (entry.came_up != n.entry.came_up && n.listed) {  // another life: what was known is void
+        Leave(&n, [](const OwnChange&) { return true; });
+        Answers(&n);
+        n.cold_sends.clear();
+      }
+      const bool moved = entry.free_cores != n.entry.free_cores || entry.free_memory != n.entry.free_memory;
+      if (moved && now - n.refused_at > kRefusalHolds) n.refused = {kNoLimit, kNoLimit};
+      if (settings.view && moved && e.kind == RosterKind::kDelta && n.heard)
+        lag.Learn(n, entry.free_cores - n.entry.free_cores, now);
+      if (indexed && entry.kind != n.entry.kind) index[Kind(n)].Clear(n.slot);
+      n.told_at = now;
+      n.entry = entry;
+      n.listed = entry.state != NodeState::kGone;
+      n.heard = n.heard || settings.view;
+      Changed(&n);
+    }
+    for (Node* n : nodes) {
+      if (n->own.empty()) continue;
+      Leave(n, [this](const OwnChange& c) { return c.at + 2 * Lag::kMost < list.heard_at; });
+    }
+    Forget();
+    IndexOrNot();
+    FindOwnPart();
+  }
+  // Guards against tables that only grow: nodes come and go, and so do services.
+  void Forget() {
+    willowrail::NumberSet<NodeId> named;
+    requests.ForEach([&](const Request& r) {
+      named.insert(r.node);
+      named.insert(r.first_node);
+    });
+    table.EraseIf([&](Node* n) {
+      if (n->listed || named.contains(n->key)) return false;
+      std::erase(struck, n);
+      std::erase(dirty, n);
+      std::erase(cold, n);
+      for (RatioIndex& each : index) each.Clear(n->slot);
+      return true;
+    });
+    services.Forget([&](const OnNode& on) { return !HasProgram(on) || table.Find(on.node) == nullptr; });
+    requests.Shrink();
+  }
+};
+
+}  // namespace passbridge::decide
--- a/tests/rig_test.py
+++ b/tests/rig_test.py
@@ -34,7 +34,7 @@
         sources = rig.Sources("none")
         src = str(rig.ROOT / "src")
         sources.known = {"1": [["operator new", "/usr/lib/new.cc:1"]], "2": [["Grow", f"{src}/structures/tables.h:30"]],
-                         "3": [["Offer", f"{src}/agents/pool.cpp:9"]], "4": [["On", f"{src}/logic.cpp:700"]],
+                         "3": [["Offer", f"{src}/agents/pool.cpp:9"]], "4": [["On", f"{src}/decide/ranking.h:70"]],
                          "5": [["vector", "/usr/include/c++/12/vector:1"], ["Take", f"{src}/front/front.cpp:2"]]}
         self.assertEqual(sources.owner(("1", "2", "3"))[0], "structures")
         self.assertEqual(sources.owner(("1", "3"))[0], "agents")
--- a/tests/rooms_test.py
+++ b/tests/rooms_test.py
@@ -13,7 +13,7 @@
     def run_on(self, files):
         with tempfile.TemporaryDirectory() as folder:
             tree = {"src/CMakeLists.txt": "target_link_libraries(passbridge PRIVATE willowrail_low)\n",
-                    "src/logic.cpp": '#include "low/low.h"\n', "src/low/low.h": "", "include/p/p.h": "",
+                    "src/decide/a.cpp": '#include "low/low.h"\n#include "decide/a.h"\n', "src/decide/a.h": "", "src/low/low.h": "", "include/p/p.h": "",
                     "src/low/CMakeLists.txt": "willowrail_room(low SOURCES low.cpp)\n", **files}
             for path, text in tree.items():
                 place = pathlib.Path(folder, path)
@@ -33,6 +33,12 @@
         self.assertEqual(code, 1)
         self.assertIn("high/h.cpp:2: includes from low", out)
 
+    def test_no_room_sees_into_the_decision_module(self):
+        code, out = self.run_on({"src/high/CMakeLists.txt": "willowrail_room(high SOURCES h.cpp USES low passbridge)\n",
+                                 "src/high/h.cpp": '#include "p/p.h"\n#include "decide/a.h"\n'})
+        self.assertEqual(code, 1)
+        self.assertIn("high/h.cpp:2: includes from decide", out)
+
     def test_a_circle_and_an_unknown_room_are_refused(self):
         code, out = self.run_on({"src/low/CMakeLists.txt": "willowrail_room(low SOURCES low.cpp USES high)\n",
                                  "src/high/CMakeLists.txt": "willowrail_room(high SOURCES h.cpp USES low)\n"})
