Take new settings at SIGHUP: classes come, go and change while open requests keep theirs

Design: positions of classes stay as long as anything uses them (src/classes), so that module, engine, front and figures, which are all indexed by class, need no translation; a changed class gets a position of its own while requests of the old one run. Rejected: an epoch on each request and settings kept by epoch, which every table would have to look up twice. A file is compared with the shape of the one accepted at the start, tried on a scheduler of its own, and only then taken.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -4,8 +4,11 @@
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
+#include <utility>
 
+#include "config/shape.h"
 #include "net/connection.h"
 #include "wire/settings.h"
 
@@ -100,16 +103,25 @@
   return c;
 }
 
-Config ConfigFromEnvironment() {
+Config ConfigFromEnvironment(const json* first) {
   const char* path = std::getenv("ROUTER_CONFIG");
   if (path == nullptr) throw std::runtime_error("ROUTER_CONFIG names no configuration file");
   std::ifstream file(path);
   if (!file) throw std::runtime_error(std::string("cannot read ") + path);
-  json config = json::parse(file);
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  json config = ParseConfig(text, path);
+  if (first != nullptr) {
+    std::string all;
+    for (const Complaint& complaint : CompareShape(*first, config)) all += "\n  " + Describe(complaint);
+    if (!all.empty()) throw std::runtime_error(std::string(path) + ":" + all);
+  }
+  json shape = config;
+  if (shape.contains("known") && shape["known"].is_object()) shape["known"]["items"] = json::array();
   if (const char* name = std::getenv("ROUTER_NAME")) config["name"] = name;
   if (const char* listen = std::getenv("ROUTER_LISTEN")) config["listen"] = listen;
   if (const char* admin = std::getenv("ROUTER_ADMIN_ADDR")) config["admin_addr"] = admin;
   Config c = ReadConfig(config);
+  c.shape = std::move(shape);
   if (const char* inherited = std::getenv("ROUTER_LISTEN_FD")) c.listen_socket = Descriptor(inherited);
   return c;
 }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -25,11 +25,14 @@
   Time dial_timeout = 250 * kMs, keepalive = 15 * kSecond;
   int sockets = 1024;    // descriptors that the process may hold
   nlohmann::json known;  // the bulletin's events so far
+  nlohmann::json shape;  // the file, but for those events: what later ones must have too
 };
 
 // Throws std::exception, saying what is wrong, where there is no configuration to work with.
 Config ReadConfig(const nlohmann::json& json);
-Config ConfigFromEnvironment();
+// Also where the file lacks what `first`, the shape of the one accepted at the start, had. A file is taken
+// whole or not at all.
+Config ConfigFromEnvironment(const nlohmann::json* first = nullptr);
 
 // The settings as the simulator's wire writes them: path=value, a tab before each.
 std::string Flatten(const nlohmann::json& settings);
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -32,10 +32,27 @@
 
 Engine::Engine(Loop* loop, passbridge::Settings settings, std::uint64_t seed)
     : loop_(loop),
+      classes_(settings),
       kind_cores_(settings.kind_cores),
       kind_memory_(settings.kind_memory),
-      module_(settings, seed) {
-  for (const passbridge::ClassSettings& c : settings.classes) ends_by_class_.push_back(figures_.Of(c.name));
+      module_(std::move(settings), seed) {
+  CountByClass();
+}
+
+void Engine::CountByClass() {
+  ends_by_class_.clear();
+  for (const passbridge::ClassSettings& c : classes_.settings().classes)
+    ends_by_class_.push_back(figures_.Of(c.name));
+}
+
+ClassTable::Change Engine::Take(const passbridge::Settings& fresh) {
+  ClassTable::Change change = classes_.Apply(fresh);
+  kind_cores_ = fresh.kind_cores;
+  kind_memory_ = fresh.kind_memory;
+  CountByClass();
+  Post(passbridge::SettingsChanged{std::make_shared<const passbridge::Settings>(change.settings),
+                                   change.learns_from});
+  return change;
 }
 
 void Engine::Connect(Owners* owners, Agents* agents, Directory* directory) {
@@ -111,6 +128,8 @@
   request.deadline = s.task.deadline;
   request.owed = !s.at;
   request.sent = loop_->Now();
+  request.class_index = s.task.class_index;
+  classes_.Use(request.class_index);
   request.ends = ends_by_class_[static_cast<std::size_t>(s.task.class_index)];
   request.cores = s.task.cores;
   request.memory = s.task.memory;
@@ -299,12 +318,6 @@
   return rotation_ != nullptr ? rotation_->AsDecided(entry) : entry;
 }
 
-std::size_t Engine::avoided() const {
-  return static_cast<std::size_t>(std::ranges::count_if(listed_, [this](const auto& each) {
-    return !each.second.gone && AsDecided(each.second.entry).state != passbridge::NodeState::kReady;
-  }));
-}
-
 void Engine::Rotated(NodeId node) {
   const auto it = listed_.find(node);
   if (it == listed_.end() || it->second.gone) return;
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "classes/class_table.h"
 #include "ends/stray_ends.h"
 #include "engine/ports.h"
 #include "figures/figures.h"
@@ -31,9 +32,14 @@
 
   std::size_t owed() const { return owed_; }  // requests without a final answer
   std::size_t nodes() const { return listed_.size(); }
-  std::size_t avoided() const;  // listed agents that get nothing now, by hand or by choice
+  std::size_t avoided() const { return module_.avoided(); }  // listed, and getting nothing now
   std::size_t module_size() const { return module_.size(); }
   const Figures& figures() const { return figures_; }
+  const ClassTable& classes() const { return classes_; }
+  // New settings: what is open keeps the class that it came with. They were found to be workable.
+  ClassTable::Change Take(const passbridge::Settings& fresh);
+  // This process ends then: all that is owed is answered by then, also what is still to come.
+  void Close(Time by) { Post(passbridge::Closing{by}); }
   std::size_t standing() const { return requests_.size() - owed_; }
 
   bool OnSetUp(SetUp set_up) override;
@@ -63,6 +69,7 @@
     Time sent = 0;
     Handle timer = 0;
     double cores = 0, memory = 0;
+    int class_index = 0;
     Ends* ends = nullptr;  // where its end is counted
   };
   struct Listed {
@@ -101,10 +108,12 @@
   std::size_t LoseTasks(NodeId node, Time sent_before, bool disown = false);
   void Erase(Handle handle, Request* r);
   void LookAtSites();
+  void CountByClass();
   passbridge::NodeEntry AsDecided(const passbridge::NodeEntry& entry) const;
 
   Loop* loop_;
-  const std::vector<double> kind_cores_, kind_memory_;
+  ClassTable classes_;
+  std::vector<double> kind_cores_, kind_memory_;
   passbridge::Scheduler module_;
   Figures figures_;
   std::vector<Ends*> ends_by_class_;
--- a/src/engine/orders.cpp
+++ b/src/engine/orders.cpp
@@ -142,6 +142,7 @@
 void Engine::Erase(Handle handle, Request* r) {
   loop_->TakeDown(r->timer);
   Unowe(r);
+  classes_.Done(r->class_index);
   by_id_.erase(r->id);
   requests_.Erase(handle);
 }
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -33,17 +33,22 @@
 
 }  // namespace
 
-Front::Front(Loop* loop, const Config& config, OwnerEvents* events)
+Front::Front(Loop* loop, const Config& config, const ClassTable& classes, OwnerEvents* events)
     : loop_(loop),
-      settings_(config.settings),
+      classes_(classes),
       events_(events),
       listener_(Listen(loop, config, [this](int socket) { Accepted(socket); })) {
   SetMost(config.sockets);
-  most_cores_ = std::ranges::max(settings_.kind_cores) * settings_.admit_cores;
-  most_memory_ = std::ranges::max(settings_.kind_memory) * settings_.admit_memory;
+  Bound();
   Sweep();
 }
 
+void Front::Bound() {
+  const passbridge::Settings& settings = classes_.settings();
+  most_cores_ = std::ranges::max(settings.kind_cores) * settings.admit_cores;
+  most_memory_ = std::ranges::max(settings.kind_memory) * settings.admit_memory;
+}
+
 // --- Connections -------------------------------------------------------------------------------------------
 void Front::Accepted(int socket) {
   ++counters.owner_connections;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "classes/class_table.h"
 #include "config/config.h"
 #include "ends/owed_ends.h"
 #include "engine/ports.h"
@@ -18,7 +19,9 @@
 
 class Front final : public Owners, public Connection::Handler {
  public:
-  Front(Loop* loop, const Config& config, OwnerEvents* events);
+  // `classes`: who they are and how they stand now; it outlives the front.
+  Front(Loop* loop, const Config& config, const ClassTable& classes, OwnerEvents* events);
+  void Bound();  // what may be asked for, by the settings that are in force now
 
   sockaddr_in address() const { return listener_.address(); }
   // How many descriptors the process may hold; owners get five eighths of them, agents most of the rest.
@@ -78,7 +81,7 @@
   void Sweep();
 
   Loop* loop_;
-  const passbridge::Settings& settings_;
+  const ClassTable& classes_;
   double most_cores_ = 0, most_memory_ = 0;  // no node takes a task that asks for more
   std::size_t most_ = 0;
   OwnerEvents* events_;
--- a/src/front/receive.cpp
+++ b/src/front/receive.cpp
@@ -110,14 +110,15 @@
 
 bool Front::ReadSetUp(const Message& m, SetUp* s) const {
   s->id = m.task;
-  s->task.class_index = Position(settings_.classes, m.Get(Code::kClass));
-  s->task.tenant = Position(settings_.tenants, m.Get(Code::kTenant));
+  const passbridge::Settings& settings = classes_.settings();
+  s->task.class_index = classes_.Position(m.Get(Code::kClass));
+  s->task.tenant = Position(settings.tenants, m.Get(Code::kTenant));
   if (s->id == 0 || s->task.class_index < 0) return false;
-  if (settings_.tenants.empty()) s->task.tenant = 0;
+  if (settings.tenants.empty()) s->task.tenant = 0;
   if (s->task.tenant < 0 || m.Get(Code::kDescription).empty()) return false;
   if (!ReadHex(m.Get(Code::kName), &s->task.name) || !ReadFigures(m.Get(Code::kFigures), s)) return false;
   const passbridge::ClassSettings& its_class =
-      settings_.classes[static_cast<std::size_t>(s->task.class_index)];
+      settings.classes[static_cast<std::size_t>(s->task.class_index)];
   if (its_class.effect == passbridge::Effect::kKeyed && m.Get(Code::kKey).empty()) return false;
   std::int64_t wait = 0;
   if (!s->at) {  // else no answer is owed
--- a/src/roles/serving.cpp
+++ b/src/roles/serving.cpp
@@ -54,7 +54,7 @@
       engine_(&loop_, config_.settings, Seeded(config_.seed)),
       pool_(&loop_, {config_.dial_timeout, config_.keepalive}, config_.sockets, config_.seed, &engine_),
       bulletin_(&loop_, config_, &engine_),
-      front_(&loop_, config_, &engine_) {
+      front_(&loop_, config_, engine_.classes(), &engine_) {
   engine_.Connect(&front_, &pool_, &bulletin_);
   if (!files_.sites.empty()) {
     sites_.emplace(sites::LoadPlan(files_.sites, deployment_), deployment_);
@@ -163,15 +163,22 @@
 }
 
 // --- Signals ---------------------------------------------------------------------------------------------
-// Guards against a file that cannot be read, or not yet: the settings at hand go on.
+// Guards against a file that cannot be read, is cut short or has lost a part: it is found to be good as a whole
+// before anything of it counts, else the settings at hand go on.
 void Serving::Reload() {
   try {
-    const Config fresh = ConfigFromEnvironment();
+    const Config fresh = ConfigFromEnvironment(&config_.shape);
+    passbridge::Scheduler(fresh.settings, 0);  // throws where the module could not work with them
+    const ClassTable::Change change = engine_.Take(fresh.settings);
+    front_.Bound();
     bulletin_.MoveTo(fresh.bulletin, fresh.known);
     pool_.SetTimes({fresh.dial_timeout, fresh.keepalive});
     front_.SetMost(fresh.sockets);
     ++counters.reloads;
-    Log("configuration read again, bulletin at %s", AddressText(fresh.bulletin).c_str());
+    Log("configuration read again, bulletin at %s, classes: %d new, %d changed, %d dropped",
+        AddressText(fresh.bulletin).c_str(), change.added, change.changed, change.dropped);
+    // The plan names classes by their positions.
+    deployment_ = sites::DeploymentOf(engine_.classes().settings(), config_.zones);
   } catch (const std::exception& error) {
     ++counters.reloads_refused;
     Log("configuration not read again: %s", error.what());
