Keep one connection for ends while drained; the old process passes its ends on and goes at once

Saw: drained, the program closed all connections and 91 to 102 ends of standing tasks were told too late; ends written on the front's questions reached nobody (traced: each such connection was closed at once, the ends waited again). In an upgrade the old process stayed until SIGKILL, since ends waited for a connection that would never come (185 tasks stood), and two requests with 10 s to go were open then ("ended its client's connection with no whole answer").

Change: while drained, the youngest connection that was served stays as long as tasks stand, and takes nothing new (front.cpp, KeepOneForEnds). Rejected: several kept, each of which owners would go on using. The old process writes ends it could tell nobody into a shared file, the new one tells them to whoever hands the task over; Closing makes the module answer all before the old one is killed. Rejected: passing its connections along.

--- a/src/ends/owed_ends.cpp
+++ b/src/ends/owed_ends.cpp
@@ -86,11 +86,14 @@
   return again;
 }
 
-std::vector<OwedEnds::End> OwedEnds::Waiting() const {
+std::vector<OwedEnds::End> OwedEnds::Waiting() const { return Which(true); }
+std::vector<OwedEnds::End> OwedEnds::All() const { return Which(false); }
+
+std::vector<OwedEnds::End> OwedEnds::Which(bool waiting) const {
   std::vector<End> all;
-  all.reserve(waiting_);
+  all.reserve(waiting ? waiting_ : ends_.size());
   for (const auto& [task, end] : ends_) {
-    if (end.way == 0) all.push_back(end);
+    if (!waiting || end.way == 0) all.push_back(end);
   }
   std::ranges::sort(all, {}, [](const End& end) { return std::tuple(end.since, end.task); });
   return all;
--- a/src/ends/owed_ends.h
+++ b/src/ends/owed_ends.h
@@ -63,6 +63,8 @@
 
   // Those that wait, in the order in which they became owed.
   std::vector<End> Waiting() const;
+  // And those of which nobody knows whether they were read.
+  std::vector<End> All() const;
   std::size_t waiting() const { return waiting_; }
   std::size_t size() const { return ends_.size(); }
   std::uint64_t given_up_old() const { return given_up_old_; }
@@ -70,6 +72,7 @@
 
  private:
   void WaitAgain(End* end);
+  std::vector<End> Which(bool waiting) const;
 
   NumberMap<std::uint64_t, End> ends_;
   std::size_t waiting_ = 0;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -189,6 +189,16 @@
   OnOwnerRelease(id, origin);
 }
 
+void Engine::ToldOver(TaskId id, Over over) {
+  Request* r = Find(id);
+  if (r == nullptr) {
+    stray_ends_.Note(StrayEnds::kAnyNode, id, over == Over::kEnded, loop_->Now());
+  } else if (r->standing) {
+    FinishStanding(by_id_.at(id), r, over == Over::kEnded ? Outcome::kOk : Outcome::kAborted, Reason::kUntold,
+                   !r->cutting);
+  }
+}
+
 // --- What agents say -------------------------------------------------------------------------------------
 void Engine::OnAnswer(NodeId node, TaskId id, std::string_view description) {
   if (sites_ != nullptr) sites_->Answered(node, loop_->Now());
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -27,6 +27,9 @@
   void Follow(sites::Sites* sites);
   // What operators took out by hand, from now on; asked of every entry of the list. It outlives the engine.
   void Follow(Rotation* rotation) { rotation_ = rotation; }
+  // Another process of this cluster manager was told that the task is over, and its owner was not.
+  void ToldOver(TaskId id, Over over);
+  const StrayEnds& stray_ends() const { return stray_ends_; }
   // They took this one out, or called it back.
   void Rotated(NodeId node);
 
@@ -40,11 +43,14 @@
   ClassTable::Change Take(const passbridge::Settings& fresh);
   // This process ends then: all that is owed is answered by then, also what is still to come.
   void Close(Time by) { Post(passbridge::Closing{by}); }
-  std::size_t standing() const { return requests_.size() - owed_; }
+  std::size_t Standing() const override { return requests_.size() - owed_; }
 
   bool OnSetUp(SetUp set_up) override;
   void OnOwnerRelease(TaskId id, Handle origin) override;
   void OnAbandoned(TaskId id, Handle origin) override;
+  void OnTurnedAway(int class_index) override {
+    ++ends_by_class_[static_cast<std::size_t>(class_index)]->throttled;
+  }
   void OnAnswer(NodeId node, TaskId id, std::string_view description) override;
   void OnEnd(NodeId node, TaskId id, const AgentSays& says) override;
   void OnNote(NodeId node, TaskId id, passbridge::NoteKind kind, double level) override;
--- a/src/engine/ports.h
+++ b/src/engine/ports.h
@@ -97,6 +97,8 @@
   // Ended where it stands, or given up: that only by the way that its answer is owed on.
   virtual void OnOwnerRelease(TaskId id, Handle origin) = 0;
   virtual void OnAbandoned(TaskId id, Handle origin) = 0;  // the way of its answer is gone
+  virtual void OnTurnedAway(int class_index) = 0;          // refused at the door
+  virtual std::size_t Standing() const = 0;                // tasks whose ends owners will have to be told
 
  protected:
   ~OwnerEvents() = default;
--- a/src/front/answer.cpp
+++ b/src/front/answer.cpp
@@ -106,6 +106,14 @@
   }
 }
 
+std::vector<std::pair<TaskId, Over>> Front::OwedEndsLeft() const {
+  std::vector<std::pair<TaskId, Over>> left;
+  for (const OwedEnds::End& end : ends_.All()) {
+    left.emplace_back(end.task, static_cast<Cause>(end.cause) == Cause::kEnded ? Over::kEnded : Over::kCut);
+  }
+  return left;
+}
+
 void Front::SendOwed() {
   for (const OwedEnds::End& end : ends_.Waiting()) {
     if (!TrySend(0, end)) return;  // what is owed for longer is sent first, and the same ways are open to all
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -92,18 +92,37 @@
   door_ = door;
   if (door == Door::kHandingOver) listener_.Close();
   const bool empties = door == Door::kEmptying || door == Door::kHandingOver;
+  for_ends_ = 0;
   if (empties && quiet_sweep_ == 0) CloseQuiet();
 }
 
+// Guards against ends that could not be told: where tasks stand while an operator empties the cluster manager,
+// one connection that was served stays for them, the youngest, as its owner will hold it for longest. Nothing
+// new is taken on it, or it would never be empty.
+void Front::KeepOneForEnds() {
+  const bool needed = door_ == Door::kEmptying && (events_->Standing() > 0 || ends_.waiting() > 0);
+  const Owner* kept = owners_.Get(for_ends_);
+  if (needed && kept != nullptr && kept->leaving == 0) return;
+  for_ends_ = 0;
+  Time youngest = 0;
+  owners_.ForEach([&](Handle handle, const Owner& owner) {
+    if (!needed || !owner.trusted || owner.leaving > 0 || owner.since <= youngest) return;
+    youngest = owner.since;
+    for_ends_ = handle;
+  });
+}
+
 // Guards against a request that crosses the close: what has come and was not read yet keeps its connection.
 void Front::CloseQuiet() {
   quiet_sweep_ = 0;
   if (door_ != Door::kEmptying && door_ != Door::kHandingOver) return;
   const Time now = loop_->Now();
   std::vector<Handle> quiet;
+  KeepOneForEnds();
   owners_.ForEach([&](Handle handle, const Owner& owner) {
     const Connection& connection = *owner.connection;
     if (owner.leaving > 0 || !owner.open.empty() || connection.unfinished_since > 0) return;
+    if (handle == for_ends_) return;
     if (now - connection.last_traffic < (owner.spoke ? kQuiet : kQuietFirst) || connection.Unread()) return;
     quiet.push_back(handle);
   });
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -42,6 +42,7 @@
   void Finish();                         // closes its side of every connection
   std::size_t size() const { return owners_.size(); }
   std::size_t ends() const { return ends_.size(); }
+  std::vector<std::pair<TaskId, Over>> OwedEndsLeft() const;  // not known to be read
 
   void Answer(Handle origin, TaskId id, std::string_view description) override;
   void Refuse(Handle origin, TaskId id, Time stay_away) override;
@@ -78,6 +79,7 @@
   void Remove(Handle handle);
   void Prune();
   void CloseQuiet();
+  void KeepOneForEnds();
   void Sweep();
 
   Loop* loop_;
@@ -90,6 +92,7 @@
   bool owed_soon_ = false;  // SendOwed is due
   Door door_ = Door::kOpen;
   Handle quiet_sweep_ = 0;  // CloseQuiet is due
+  Handle for_ends_ = 0;     // kept while others are closed; takes nothing new
   Listener listener_;
 };
 
--- a/src/front/receive.cpp
+++ b/src/front/receive.cpp
@@ -61,7 +61,7 @@
           .Add(door_ == Door::kOpen || door_ == Door::kHandingOver ? Cause::kTestPassed : Cause::kTestFailed);
       owner->spoke = true;
       // While connections are let go, the front's questions are often the only way that is left to owners.
-      if (door_ != Door::kOpen && ends_.waiting() > 0) SendOwed();
+      if (door_ == Door::kEmptying && ends_.waiting() > 0) SendOwed();
       return true;
     case Type::kReleaseHeard:
       ++counters.owner_heard;
@@ -91,8 +91,9 @@
     Trusted(owner);
     return Verdict::kTaken;
   }
-  if (!again && owner->open.size() >= kMostOpen) {
+  if (!again && (owner->open.size() >= kMostOpen || connection.tag == for_ends_)) {
     ++counters.setups_over_most;
+    events_->OnTurnedAway(s.task.class_index);
     Refuse(connection.tag, id, kOverMostAway);
     return Verdict::kTaken;
   }
--- a/src/roles/serving.cpp
+++ b/src/roles/serving.cpp
@@ -9,6 +9,7 @@
 #include <exception>
 #include <utility>
 
+#include "ends/passed_ends.h"
 #include "net/counters.h"
 #include "net/log.h"
 #include "net/sys.h"
@@ -32,17 +33,20 @@
 // is out of reach: what was known at the start serves as well.
 constexpr Time kListMost = 1500 * kMs;
 constexpr Time kReadyLook = 5 * kMs;
+// An old process is killed after the longest deadline, or the first of these, and the second; it has answered
+// all by the third before that.
+constexpr Time kOldMost = 5 * kSecond, kOldLast = 700 * kMs, kOldMargin = 400 * kMs;
 constexpr Time kFollow = 25 * kMs;  // of what another process of this cluster manager was told
 
 std::uint64_t Seeded(std::uint64_t seed) { return hash_seed = seed; }
 
-std::string SharedPath(const std::string& name) {
+std::optional<SharedFile> Shared(const std::string& name, const char* what) {
   const char* folder = std::getenv("TMPDIR");
-  if (folder == nullptr || *folder == '\0') return "";
+  if (folder == nullptr || *folder == '\0') return std::nullopt;
   std::string plain = name;
   std::ranges::replace_if(
       plain, [](char c) { return c == '/' || c == '\0'; }, '_');
-  return std::string(folder) + "/willowrail." + plain + ".rotation";
+  return SharedFile(std::string(folder) + "/willowrail." + plain + "." + what);
 }
 
 }  // namespace
@@ -63,9 +67,10 @@
   }
   if (config_.admin) {
     engine_.Follow(&rotation_);
-    if (const std::string path = SharedPath(config_.name); !path.empty()) shared_rotation_.emplace(path);
-    FollowOthers();
+    shared_rotation_ = Shared(config_.name, "rotation");
   }
+  if (inherited()) shared_ends_ = Shared(config_.name, "ends");
+  FollowOthers();
   bulletin_.TellKnown(config_.known);
   loop_.OnSignal(SIGHUP, [this] { Reload(); });
   loop_.OnSignal(SIGTERM, [this] { Stop(); });
@@ -104,7 +109,7 @@
 // --- Operators -------------------------------------------------------------------------------------------
 std::string Serving::Figures() const {
   return engine_.figures().Write({.relayed = counters.offers_sent,
-                                  .open_requests = engine_.owed() + engine_.standing(),
+                                  .open_requests = engine_.owed() + engine_.Standing(),
                                   .registry_entries = bulletin_.size(),
                                   .out_of_rotation = engine_.avoided(),
                                   .cfg_accepted = counters.reloads,
@@ -143,16 +148,19 @@
 
 // A call may have reached the other process of this cluster manager, while one takes over.
 void Serving::FollowOthers() {
-  if (!shared_rotation_) return;
-  if (const std::optional<std::string> told = shared_rotation_->Changed()) {
+  if (!shared_rotation_ && !shared_ends_) return;
+  if (const auto told = shared_rotation_ ? shared_rotation_->Changed() : std::nullopt) {
     for (const NodeId node : rotation_.Read(*told, loop_.Now())) engine_.Rotated(node);
   }
+  if (const auto told = shared_ends_ ? shared_ends_->Changed() : std::nullopt) {
+    for (const PassedEnd& end : ReadEnds(*told)) engine_.ToldOver(end.task, end.ended ? Over::kEnded : Over::kCut);
+  }
   loop_.After(kFollow, [this] { FollowOthers(); });
 }
 
 void Serving::Drain() {
   if (stop_from_ > 0 || front_.door() == Front::Door::kEmptying) return;
-  Log("drained by an operator: %zu requests to settle, %zu tasks stand", engine_.owed(), engine_.standing());
+  Log("drained by an operator: %zu requests to settle, %zu tasks stand", engine_.owed(), engine_.Standing());
   front_.Set(Front::Door::kEmptying);
 }
 
@@ -194,17 +202,29 @@
 
 void Serving::Stop() {
   if (stop_from_ > 0) return;
-  Log("stopping: %zu requests to settle, %zu tasks stand", engine_.owed(), engine_.standing());
+  Log("stopping: %zu requests to settle, %zu tasks stand", engine_.owed(), engine_.Standing());
   // Where another process has the socket it accepts from now on, and nothing new comes here but on
   // connections that are open.
   stop_from_ = loop_.Now() + (inherited() ? 0 : kLastArrivals);
   front_.Set(inherited() ? Front::Door::kHandingOver : Front::Door::kLeaving);
+  if (inherited()) {
+    Time longest = 0;
+    for (const passbridge::ClassSettings& c : engine_.classes().settings().classes)
+      longest = std::max(longest, c.deadline);
+    stop_by_ = loop_.Now() + std::min(longest, kOldMost) + kOldLast;
+    engine_.Close(stop_by_ - kOldMargin);
+  }
   LookWhetherOver();
 }
 
+// An old process that hands over is gone as soon as it has answered all and nobody is connected: only then do
+// owners hand its tasks to the new one. What it has been told and could tell nobody it passes on.
 void Serving::LookWhetherOver() {
-  const bool over = loop_.Now() >= stop_from_ && engine_.owed() == 0 && front_.idle();
-  if (over && (!inherited() || front_.size() == 0)) {
+  if (inherited()) PassEnds();
+  const bool settled = loop_.Now() >= stop_from_ && engine_.owed() == 0;
+  if (inherited() && ((settled && front_.size() == 0) || loop_.Now() >= stop_by_)) {
+    loop_.Stop();
+  } else if (!inherited() && settled && front_.idle()) {
     front_.Finish();
     loop_.After(kLastWords, [this] { loop_.Stop(); });
   } else {
@@ -212,13 +232,26 @@
   }
 }
 
+void Serving::PassEnds() {
+  if (!shared_ends_) return;
+  std::vector<PassedEnd> ends;
+  for (const auto& [task, over] : front_.OwedEndsLeft()) ends.push_back({task, over == Over::kEnded});
+  for (const StrayEnds::End& end : engine_.stray_ends().all()) ends.push_back({end.task, end.ended});
+  std::string text = WriteEnds(ends);
+  if (text == ends_passed_) return;
+  if (!shared_ends_->Change([&](const auto&) { return text; })) {
+    Log("%zu ends cannot be passed on: %s", ends.size(), std::strerror(errno));
+  }
+  ends_passed_ = std::move(text);
+}
+
 void Serving::Print() {
   counters.Print(stderr);
   sys::calls.Print(stderr);
   std::fprintf(stderr, "counter bytes_written %llu\n", static_cast<unsigned long long>(proto::bytes_written));
   if (counting_build != nullptr) counting_build(stderr);
   const std::pair<const char*, std::size_t> sizes[] = {
-      {"owed", engine_.owed()},     {"standing", engine_.standing()}, {"owners", front_.size()},
+      {"owed", engine_.owed()},     {"standing", engine_.Standing()}, {"owners", front_.size()},
       {"owed_ends", front_.ends()}, {"listed", engine_.nodes()},      {"module", engine_.module_size()},
       {"roster", bulletin_.size()}, {"agents", pool_.size()},         {"agent_lines", pool_.lines()},
       {"agent_open", pool_.open()}, {"blocks", Blocks().live()},      {"deadlines", loop_.deadlines()}};
--- a/src/roles/serving.h
+++ b/src/roles/serving.h
@@ -40,6 +40,7 @@
   void Reload();
   void Stop();
   void LookWhetherOver();
+  void PassEnds();
   void Rotate(const std::string& agent, bool out);
   void FollowOthers();
   void Print();
@@ -52,7 +53,9 @@
   sites::Deployment deployment_;
   std::optional<sites::Sites> sites_;
   Rotation rotation_{NodeOf};
-  std::optional<SharedFile> shared_rotation_;  // with the process that this one takes over from, and the next
+  // Shared with the process that this one takes over from, and with the next.
+  std::optional<SharedFile> shared_rotation_, shared_ends_;
+  std::string ends_passed_;  // to the next, so far
   Engine engine_;
   Pool pool_;
   BulletinReader bulletin_;
--- a/tests/operations_story_test.cpp
+++ b/tests/operations_story_test.cpp
@@ -162,7 +162,17 @@
   CHECK(asks.Closed());
   agent.Answer(kTask, "here");
   CHECK(busy.Hear(Type::kAnswer, kTask).description == "here");
-  CHECK(busy.Closed());
+  // Its task stands: the end of it will have to be told, so this way stays, and takes nothing new.
+  Ask(&busy, kOther, "unsafe");
+  CHECK(busy.Hear(Type::kRelease, kOther).cause == 42);
+  CHECK(FiguresOf(port)["throttled"]["unsafe"] == 1);
+  SUBCASE("empty in the end") {
+    agent.Say(Type::kRelease, kTask, Cause::kEnded);
+    CHECK(busy.Hear(Type::kRelease, kTask).cause == 16);
+    CHECK(busy.Closed());
+    return;
+  }
+  SUBCASE("soon active again") { busy.Close(); }
   // Within a second: active, drained, active.
   CHECK(Post(port, "/v1/cluster-manager/activate").yes());
   CHECK(Post(port, "/v1/cluster-manager/drain").yes());
