Serve the operators' address first in a turn, and read a call in the turn it is accepted

A call took two turns, one to accept and one to read, and stood behind all that was ready in each.

Listener takes a priority of libev, Connection::Prefer gives a connection the highest and feeds it a read, so what came before the accept is read in the same turn. Priority alone was rejected: it spares the rest of the second turn, not the turn itself. It cannot shorten the turn in which a call arrives: that bound stays with who keeps turns short.

--- a/src/admin/admin.cpp
+++ b/src/admin/admin.cpp
@@ -22,7 +22,9 @@
 
 Admin::Admin(Loop* loop, const sockaddr_in& address, Operations* operations)
     : loop_(loop), operations_(operations) {
-  listener_.emplace(loop, address, [this](int socket) { Accepted(socket); });
+  // Guards against turns that are long: the call that came first in one is accepted, read and answered in it.
+  listener_.emplace(
+      loop, address, [this](int socket) { Accepted(socket); }, EV_MAXPRI);
   address_ = listener_->address();
 }
 
@@ -47,6 +49,7 @@
   const Handle handle = callers_.Insert(std::move(caller));
   Caller* its = callers_.Get(handle);
   its->connection->tag = handle;
+  its->connection->Prefer();
   its->deadline = loop_->After(kCallMost, [this, handle] { Late(handle); });
   if (callers_.size() > kMost) Prune();
 }
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -73,6 +73,13 @@
   ev_io_start(loop_->raw(), &io_);
 }
 
+void Connection::Prefer() {
+  ev_io_stop(loop_->raw(), &io_);
+  ev_set_priority(&io_, EV_MAXPRI);
+  ev_io_start(loop_->raw(), &io_);
+  ev_feed_event(loop_->raw(), &io_, EV_READ);
+}
+
 std::string* Connection::out() {
   if (!flush_marked_) loop_->FlushSoon(this);
   flush_marked_ = true;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -49,6 +49,10 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
+  // From now on its events come before others' in a turn, and what has come already is read in this turn: for
+  // the few who are answered in time however long a turn is.
+  void Prefer();
+
   bool open() const { return socket_ >= 0; }
   bool up() const { return open() && !dialing_; }
   bool flushed() const { return pending() == 0; }
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-Listener::Listener(Loop* loop, const sockaddr_in& address, std::function<void(int)> accepted)
+Listener::Listener(Loop* loop, const sockaddr_in& address, std::function<void(int)> accepted, int priority)
     : loop_(loop), accepted_(std::move(accepted)) {
   socket_ = sys::Socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (socket_ >= 0) sys::SetOption(socket_, SOL_SOCKET, SO_REUSEADDR, 1);
@@ -32,7 +32,7 @@
     if (socket_ >= 0) sys::Close(socket_);
     throw std::runtime_error("cannot listen: " + problem);
   }
-  Watch();
+  Watch(priority);
   Resume();
 }
 
@@ -45,16 +45,17 @@
     throw std::runtime_error("descriptor " + std::to_string(listening) + " is no listening socket");
   }
   ::fcntl(socket_, F_SETFD, FD_CLOEXEC);
-  Watch();
+  Watch(0);
 }
 
 Listener::~Listener() { Close(); }
 
-void Listener::Watch() {
+void Listener::Watch(int priority) {
   ev_io_init(
       &io_, [](struct ev_loop*, ev_io* w, int) { static_cast<Listener*>(w->data)->Accept(); }, socket_,
       EV_READ);
   io_.data = this;
+  ev_set_priority(&io_, priority);
 }
 
 void Listener::Resume() {
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -13,7 +13,9 @@
 class Listener {
  public:
   // Throws std::runtime_error where the address cannot be listened on.
-  Listener(Loop* loop, const sockaddr_in& address, std::function<void(int socket)> accepted);
+  // Those of a higher priority (libev's: EV_MINPRI to EV_MAXPRI) accept first in a turn.
+  Listener(Loop* loop, const sockaddr_in& address, std::function<void(int socket)> accepted,
+           int priority = 0);
   // Takes over a socket that listens already, as several processes may that take turns: what is in its
   // backlog belongs to whoever accepts it. Accepts nothing before Resume().
   Listener(Loop* loop, int listening, std::function<void(int socket)> accepted);
@@ -26,7 +28,7 @@
   void Close();   // accepts no more; where others have the socket too, its backlog is theirs
 
  private:
-  void Watch();
+  void Watch(int priority);
   void Accept();
 
   Loop* loop_;
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -338,6 +338,35 @@
   CHECK(desk.Until([&] { return desk.admin.size() == 0; }));
 }
 
+TEST_CASE("a call that has come is accepted, read and answered in one turn, before what others sent") {
+  struct Others final : Connection::Handler {
+    std::size_t OnData(Connection&, std::string_view data) override {
+      operations->said.push_back("other");
+      return data.size();
+    }
+    void OnEnd(Connection&, Ending) override {}
+    FakeOperations* operations = nullptr;
+  };
+  Desk desk;
+  Others others;
+  others.operations = &desk.operations;
+  int sockets[2];
+  REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, sockets) == 0);
+  Connection other(&desk.loop, sockets[0], &others);
+  bool in_one = false;
+  for (int i = 0; i < 50 && !in_one; ++i) {  // the machine may be late to show what was sent
+    desk.operations.said.clear();
+    Client client(&desk);
+    CHECK(client.Send(Whole("POST /v1/cluster-manager/drain")));
+    REQUIRE(::send(sockets[1], "x", 1, MSG_NOSIGNAL) == 1);
+    desk.Turn();
+    in_one = client.Ended() && desk.operations.said == std::vector<std::string>{"drain", "other"};
+    client.Answer();
+  }
+  CHECK(in_one);
+  ::close(sockets[1]);
+}
+
 TEST_CASE("a closed address ends who is idle, and lets a call that has begun come to its end") {
   Desk desk;
   Client silent(&desk), begun(&desk), sent(&desk);
