Let tasks at an address that is used again go over to the node listed there

While the list was silent, a new process at a dead node's address took set-ups under the dead node's uid: its connections came up after the refused dials, its tests passed, and nothing said that it was another.

The agents' side now counts process lives at an address (a reset or a refused dial, then a connection that comes up) and keeps for each task the life and the dial of the connection that its answer came on. When the list has one node gone and another at its address, in either order, what was placed on a connection dialled since boot_ms goes over to the new uid, with its connections, open set-ups and cuts; where boot_ms is not told, what was placed in the life that answers now, unless that is the first. What is told over with a node that has gone is cut on the wire before, wherever a way is up. The module keeps its books of such tasks under the old node. Rejected: sending nothing there until the list names the new process, which leaves nodes idle as long as the list is silent; following without proof, which loses an end where the guess is wrong.

--- a/src/agents/connections.cpp
+++ b/src/agents/connections.cpp
@@ -50,7 +50,7 @@
   const std::vector<Waiting> waiting = std::move(line->waiting);
   Remove(handle);
   Peer* peer = &peers_[node];
-  if (ending != Ending::kRefused) peer->life.Unanswered(dialled);
+  ending == Ending::kRefused ? void(peer->cut_off = true) : peer->life.Unanswered(dialled);
   ++counters.agent_dials_failed;
   Log("agent %u: dial %s, %zu set-ups and %zu tests waiting, %zu tasks stand", node,
       ending == Ending::kRefused ? "refused" : "failed", waiting.size(), peer->tests.size(),
@@ -124,6 +124,8 @@
   if (line == nullptr) return;
   loop_->TakeDown(std::exchange(line->timer, 0));
   Peer& peer = peers_[line->node];
+  if (std::exchange(peer.cut_off, false)) ++peer.lives;
+  line->life = peer.lives;
   Heard(line->node, &peer, line);
   for (const Waiting& w : std::exchange(line->waiting, {})) SendSetUp(&peer, line, w);
   for (Testing& test : peer.tests) {
@@ -147,6 +149,7 @@
   if (ending == Ending::kReset) ++counters.agent_resets;
   Remove(handle);
   Peer* peer = &peers_[node];
+  if (ending == Ending::kReset) peer->cut_off = true;
   std::vector<TaskId> open;
   for (const auto& [id, sent] : peer->open) {
     if (sent.line == handle) open.push_back(id);
--- a/src/agents/pool.cpp
+++ b/src/agents/pool.cpp
@@ -25,6 +25,8 @@
 
 void Pool::Know(const ListedNode& node) {
   Peer& peer = peers_[node.entry.node];
+  const sockaddr_in before = peer.address;
+  peer.came_up = node.entry.came_up;
   peer.known = ParseAddress(node.endpoint, &peer.address) || peer.known;
   // Guards against addresses that are used again: nothing dials a node that has gone, since another may
   // answer there.
@@ -36,6 +38,7 @@
                  loop_->Now());
   if (peer.life.leaving() && !left) leaving_.push_back(node.entry.node);
   if (peer.gone) peer.disowned.clear();
+  NoteAddress(node.entry.node, before);
   KeepWay(node.entry.node, &peer);
 }
 
@@ -57,6 +60,9 @@
     }
     for (const Handle handle : std::vector<Handle>(peer.lines)) Remove(handle);
     loop_->TakeDown(peer.redial);
+    if (const auto at = at_address_.find(KeyOf(peer.address)); at != at_address_.end()) {
+      if (at->second == it->first) at_address_.erase(at);
+    }
     it = peers_.erase(it);
   }
   loop_->After(kForget, [this] { ForgetGone(); });
@@ -66,7 +72,8 @@
   Peer& peer = peers_[node];
   if (stands) {
     std::erase(peer.disowned, id);  // its owner has handed it over again: it is wanted after all
-    peer.standing.insert(id);
+    const Line* line = lines_.Get(speaking_);
+    peer.standing[id] = line != nullptr && line->node == node ? Birth{line->life, line->dialled} : Birth{};
     KeepWay(node, &peer);
   } else {
     peer.standing.erase(id);
--- a/src/agents/pool.h
+++ b/src/agents/pool.h
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -62,6 +63,7 @@
     std::unique_ptr<Connection> connection;
     NodeId node = 0;
     Time dialled = 0, heard = 0;
+    int life = 0;                  // of the process at that address, by the pool's count
     Handle timer = 0;              // of the dial; then of a message that is not whole
     bool doubted = false;          // something went unanswered on it, and nothing was heard since
     std::size_t open = 0;          // set-ups sent on it and not answered
@@ -71,14 +73,22 @@
     Handle line;
     std::uint64_t turn;  // of the loop: the set-up left at its end
   };
+  struct Birth {  // which process life at the address a task was placed in
+    int life = 0;
+    Time dialled = 0;  // when the connection was that its answer came on; 0: another placed it
+  };
   struct Peer {
     sockaddr_in address{};
     bool known = false, gone = false;
-    std::vector<Handle> lines;  // up, or being dialled
+    Time came_up = 0;            // as the list has it, 0: not told
+    int lives = 0;               // process lives seen to end at that address, by resets and refused dials
+    bool cut_off = false;        // one may have ended: the next connection is of another
+    std::optional<NodeId> heir;  // it has gone, and this one has its address
+    std::vector<Handle> lines;   // up, or being dialled
     Handle redial = 0;
     std::vector<Waiting> hopeless;  // nobody to dial; they end in the next turn
     NumberMap<TaskId, Sent> open;
-    NumberSet<TaskId> standing;
+    NumberMap<TaskId, Birth> standing;
     std::unordered_map<TaskId, Handle>
         cuts;  // tasks that it was told to cut, and where; 0: it is still to be
     std::vector<Testing> tests;
@@ -112,6 +122,10 @@
   void WatchAge(Handle handle);
   void Remove(Handle handle);
   void ForgetGone();
+  static std::uint64_t KeyOf(const sockaddr_in& address);
+  void NoteAddress(NodeId node, const sockaddr_in& before);
+  void PassOn(NodeId node, NodeId heir);
+  static bool Heirs(const Peer& peer, const Peer& heir, const Birth& birth);
   void Heard(NodeId node, Peer* peer, Line* line);
   void AskWhetherAlive(NodeId node, Peer* peer, Line* line);
   void LookAtLeaving();
@@ -123,7 +137,9 @@
   TaskId next_test_;
   std::unordered_map<NodeId, Peer> peers_;
   SlotTable<Line> lines_;
-  std::vector<NodeId> leaving_;  // listed so, and not looked at for the last time
+  std::unordered_map<std::uint64_t, NodeId> at_address_;  // who was listed there last
+  Handle speaking_ = 0;                                   // the line whose message is being taken
+  std::vector<NodeId> leaving_;                           // listed so, and not looked at for the last time
 };
 
 }  // namespace willowrail
--- a/src/agents/receiving.cpp
+++ b/src/agents/receiving.cpp
@@ -140,7 +140,9 @@
   }
   switch (m.type) {
     case Type::kAnswer:
+      speaking_ = connection.tag;
       events_->OnAnswer(node, m.task, m.Get(Code::kDescription));
+      speaking_ = 0;
       return true;
     case Type::kRelease:
       TakeRelease(node, m);
--- a/src/agents/tests.cpp
+++ b/src/agents/tests.cpp
@@ -107,8 +107,6 @@
   loop_->After(kLookAtLeaving, [this] { LookAtLeaving(); });
 }
 
-void Pool::Disown(NodeId node, TaskId id) { peers_[node].disowned.push_back(id); }
-
 Time Pool::WordsUntil(NodeId node) { return peers_[node].life.WordsUntil(loop_->Now()); }
 
 // Something came from the node. What was taken for over there while it was silent is cut now.
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -287,6 +287,13 @@
   Log("agent %u: was to leave and is silent, taken for stopped, %zu tasks over", node, lost);
 }
 
+// The module keeps its books under the old node: no event of its moves a task, and the list shows the load.
+void Engine::OnHeir(NodeId node, NodeId heir, const std::vector<TaskId>& tasks) {
+  for (const TaskId id : tasks) {
+    if (Request* r = Find(id); r != nullptr && r->out && r->node == node) r->node = heir;
+  }
+}
+
 // --- What the directory says -----------------------------------------------------------------------------
 void Engine::OnRoster(passbridge::RosterKind kind, std::int64_t version,
                       const std::vector<ListedNode>& nodes) {
@@ -301,11 +308,12 @@
                      loop_->Now());
     }
     entries->push_back(decided);
-    Listed& listed = listed_[node.entry.node];
+    const auto [place, fresh] = listed_.try_emplace(node.entry.node);
+    Listed& listed = place->second;
     listed.entry = node.entry;
     listed.gone = node.entry.state == passbridge::NodeState::kGone;
     // Guards against a process that died and came up again between two dials: its new life holds nothing.
-    if (std::exchange(listed.came_up, node.entry.came_up) != node.entry.came_up) {
+    if (std::exchange(listed.came_up, node.entry.came_up) != node.entry.came_up && !fresh) {
       LoseTasks(node.entry.node, node.entry.came_up);
     }
     if (listed.gone) {
@@ -314,7 +322,7 @@
       loop_->At(agents_->WordsUntil(node.entry.node), [this, id = node.entry.node] {
         const auto it = listed_.find(id);
         if (it == listed_.end() || !it->second.gone) return;
-        LoseTasks(id, kForever);
+        LoseTasks(id, kForever, true);
         listed_.erase(id);
         if (rotation_ != nullptr) rotation_->Gone(id);
       });
@@ -344,9 +352,9 @@
     Request* r = requests_.Get(handle);
     if (r == nullptr) continue;
     ++counters.tasks_lost;
-    const TaskId id = r->id;
+    if (disown) agents_->Disown(node, r->id);  // first: it may still run
+    if ((r = requests_.Get(handle)) == nullptr) continue;
     FinishStanding(handle, r, Outcome::kAborted, Reason::kUntold, !r->cutting);
-    if (disown) agents_->Disown(node, id);
   }
   return lost.size();
 }
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -58,6 +58,7 @@
   void OnAsked(NodeId node, passbridge::Outcome outcome, Time took) override;
   void OnDead(NodeId node) override;
   void OnStopped(NodeId node) override;
+  void OnHeir(NodeId node, NodeId heir, const std::vector<TaskId>& tasks) override;
   void OnRoster(passbridge::RosterKind kind, std::int64_t version,
                 const std::vector<ListedNode>& nodes) override;
 
--- a/src/engine/ports.h
+++ b/src/engine/ports.h
@@ -70,7 +70,8 @@
   virtual void Probe(NodeId node) = 0;
   virtual void Ask(NodeId node) = 0;  // a test whose outcome the plan for lost sites wants to know
   virtual void CloseIdle(NodeId node) = 0;
-  // A task that was taken for over while nothing was heard of the node: cut there if it is heard again.
+  // A task is taken for over though nobody said so, of a silent node or of one that is listed as gone: cut
+  // there if it is heard again, or by a way that is still up.
   virtual void Disown(NodeId node, TaskId id) = 0;
   // It is listed as gone: until when its last words may still be on their way.
   virtual Time WordsUntil(NodeId node) = 0;
@@ -121,6 +122,8 @@
   virtual void OnDead(NodeId node) = 0;  // its process is gone, and all that stood there
   // It was to leave and has been silent for too long: what stood there is taken for over.
   virtual void OnStopped(NodeId node) = 0;
+  // The list gives its address to another: these are with that one, which answered at the address before.
+  virtual void OnHeir(NodeId node, NodeId heir, const std::vector<TaskId>& tasks) = 0;
 
  protected:
   ~AgentEvents() = default;
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -66,6 +66,7 @@
   X(tasks_lost) \
   X(tasks_presumed_over) \
   X(tasks_disowned_cut) \
+  X(tasks_inherited) \
   X(life_questions) \
   X(malformed) \
   X(unfinished) \
--- a/tests/story.h
+++ b/tests/story.h
@@ -201,6 +201,15 @@
     if (socket_ >= 0) ::close(std::exchange(socket_, -1));
     for (const int each : std::exchange(clogged_, {})) ::close(each);
   }
+  // Another process listens at the same address.
+  void Open() {
+    socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int on = 1;
+    ::setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    const sockaddr_in address = Loopback(number_);
+    REQUIRE(::bind(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+    REQUIRE(::listen(socket_, 64) == 0);
+  }
   // From now on a dial is neither accepted nor refused, as where a machine is cut off.
   void Clog() {
     REQUIRE(::listen(socket_, 0) == 0);
@@ -377,4 +386,17 @@
   AskAs(owner, task, a);
 }
 
+constexpr TaskId kTask = 0x7f3a9c21e0b4d655, kOther = 0x1122334455667788;
+
+// One program, one bulletin, two agents; the module prefers the first, whose room is the larger.
+struct Site {
+  Port bulletin, first, second;
+  std::optional<Program> program;
+
+  void Start(const json& settings = Settings(), rlim_t limit = 0, rlim_t told = 0) {
+    program.emplace(json{Node("s-00000001", first.endpoint(), 10), Node("s-00000002", second.endpoint(), 5)},
+                    bulletin, settings, limit, told);
+  }
+};
+
 }  // namespace willowrail::story
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -11,19 +11,6 @@
 namespace willowrail::story {
 namespace {
 
-constexpr TaskId kTask = 0x7f3a9c21e0b4d655, kOther = 0x1122334455667788;
-
-// One program, one bulletin, two agents; the module prefers the first, whose room is the larger.
-struct Site {
-  Port bulletin, first, second;
-  std::optional<Program> program;
-
-  void Start(const json& settings = Settings(), rlim_t limit = 0, rlim_t told = 0) {
-    program.emplace(json{Node("s-00000001", first.endpoint(), 10), Node("s-00000002", second.endpoint(), 5)},
-                    bulletin, settings, limit, told);
-  }
-};
-
 TEST_CASE_FIXTURE(Site, "a task is passed on unchanged, stands, and is released when it ends") {
   Start();
   Wire owner = program->Owner();
