--- a/tests/story.h
+++ b/tests/story.h
@@ -19,9 +19,11 @@
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "net/connection.h"
 #include "proto/message.h"
@@ -169,10 +171,9 @@
 
 class Port {  // a listening socket: an agent's or the bulletin's
  public:
-  Port() : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in address = Loopback(0);
-    REQUIRE(::bind(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
-    REQUIRE(::listen(socket_, 64) == 0);
+  Port() {
+    Open();
+    sockaddr_in address{};
     socklen_t size = sizeof address;
     getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
     number_ = ntohs(address.sin_port);
@@ -194,14 +195,19 @@
     REQUIRE(::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &room, sizeof room) == 0);
   }
   Wire Accept() {
-    REQUIRE_MESSAGE(Dialled(kLimitMs), "nobody dialled");
-    return Wire(::accept(socket_, nullptr, nullptr));
+    while (true) {
+      REQUIRE_MESSAGE(Dialled(kLimitMs), "nobody dialled");
+      sockaddr_in from{};
+      socklen_t size = sizeof from;
+      Wire wire(::accept(socket_, reinterpret_cast<sockaddr*>(&from), &size));
+      if (!own_.contains(from.sin_port)) return wire;
+    }
   }
   void Close() {
     if (socket_ >= 0) ::close(std::exchange(socket_, -1));
     for (const int each : std::exchange(clogged_, {})) ::close(each);
   }
-  // Another process listens at the same address.
+  // Listens; after Close, as another process at the same address.
   void Open() {
     socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
     const int on = 1;
@@ -217,13 +223,23 @@
     for (int i = 0; i < 4; ++i) {
       clogged_.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
       ::connect(clogged_.back(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
+      sockaddr_in own{};
+      socklen_t size = sizeof own;
+      getsockname(clogged_.back(), reinterpret_cast<sockaddr*>(&own), &size);
+      own_.insert(own.sin_port);
     }
   }
+  // Dials come up again: one that hangs does so when the kernel tries it the next time, within seconds.
+  void Unclog() {
+    for (const int each : std::exchange(clogged_, {})) ::close(each);
+    REQUIRE(::listen(socket_, 64) == 0);
+  }
 
  private:
-  int socket_;
+  int socket_ = -1;
   int number_ = 0;
   std::vector<int> clogged_;
+  std::set<in_port_t> own_;  // of the sockets that clogged it
 };
 
 inline json Node(const std::string& uid, const std::string& endpoint, double free_cores = 10,
