Take two races out of the stories: a signal before the program is at work, a dropped connection

"Once the load has gone" sent SIGUSR1 as soon as the program said that it listens; its handler is set a little later, so the signal could end it, which failed the whole suite once. The new story of three troubles dropped the connection on which it had taken a set-up, so that set-up's failure could come before the end it waited for: one run in eight failed. Both now wait for what they rely on.

--- a/tests/hard_case_test.cpp
+++ b/tests/hard_case_test.cpp
@@ -34,7 +34,8 @@
            Event(2, json::array({Node("s-00000001", first.endpoint(), 10, "terminating")})).dump() + "\n\n");
   program->Counted("bulletin_events", 1);
   Ask(&owner, kOther, "unsafe");
-  second.Accept().Hear(Type::kSetUp, kOther);
+  Wire next = second.Accept();
+  next.Hear(Type::kSetUp, kOther);
   agent.Say(Type::kRelease, kTask, Cause::kEnded);
   CHECK(owner.Hear(Type::kRelease, kTask).cause == 16);
 }
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -898,6 +898,7 @@
 
 TEST_CASE_FIXTURE(Site, "once the load has gone every table is as at the start") {
   Start();
+  program->Owner().NothingElse();  // it is at work: a signal before that would end it
   program->Counted("roster", 2, "size ");
   {
     Wire owner = program->Owner();
