Pass standing tasks to the next process; a closed door proves no death to a new one

Each was handed over, its node's dial was refused ("agent: dial refused, 0 set-ups and 0 tests waiting, 15 tasks stand"), and all 15 were told over at once (agents/connections.cpp, DialFailed): a node that leaves had closed its door before the list said so, and the new process had no old connection that tells. Ruled out: ends passed on (none of them hit), strays (all 14 ended by themselves), evictions.

Change: a refused dial proves a death only where the node was heard before (src/life); else it is asked like one that leaves, for 7 s at most. The old process writes the tasks that stand and the ends that it could not tell into one shared file, the new one holds them before owners hand them over, and tells those ends.

--- a/src/agents/connections.cpp
+++ b/src/agents/connections.cpp
@@ -58,7 +58,8 @@
   // Guards against a machine that is cut off: connections on which nothing was heard while another could not
   // be made are not to be trusted. Tells a death from that: only where a process was can a dial be refused,
   // and then none of its other connections says anything.
-  bool dead = ending == Ending::kRefused;
+  bool dead = ending == Ending::kRefused && (peer->life.Refused(dialled) || peer->standing.empty());
+  if (peer->life.leaving() && std::ranges::find(leaving_, node) == leaving_.end()) leaving_.push_back(node);
   for (const Handle each : peer->lines) {
     Line* other = lines_.Get(each);
     if (other->heard == 0) continue;
--- a/src/ends/stray_ends.cpp
+++ b/src/ends/stray_ends.cpp
@@ -11,9 +11,7 @@
 
 StrayEnds::Said StrayEnds::Take(std::uint32_t node, std::uint64_t task, Time now) {
   const auto it = std::ranges::find_if(
-      ends_, [&](const End& end) {
-        return end.task == task && (end.node == node || end.node == kAnyNode) && now - end.at < kKept;
-      });
+      ends_, [&](const End& end) { return end.task == task && end.node == node && now - end.at < kKept; });
   if (it == ends_.end()) return Said::kNothing;
   const Said said = it->ended ? Said::kEnded : Said::kCut;
   ends_.erase(it);
--- a/src/ends/stray_ends.h
+++ b/src/ends/stray_ends.h
@@ -17,7 +17,6 @@
   static constexpr Time kKept = 15'000'000'000;
   static constexpr std::size_t kMost = 4096;  // 32 bytes each
 
-  static constexpr std::uint32_t kAnyNode = 0;  // where it stood is not told
   void Note(std::uint32_t node, std::uint64_t task, bool ended, Time now);
   // Whether the task has been said to be over at that node, and if so how; it is forgotten then.
   enum class Said { kNothing, kEnded, kCut };
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -114,6 +114,7 @@
     if (r->passage != s.passage || (!s.at && !r->owed)) return false;
     if (s.at) {
       ++counters.setups_at_held;
+      if (r->origin == 0) r->origin = s.origin;  // another process had passed it on
     } else {  // sent again over a closing connection: the answer goes where it came from last
       ++counters.setups_resent;
       r->origin = s.origin;
@@ -125,14 +126,11 @@
   request.id = s.id;
   request.origin = s.origin;
   request.passage = std::move(s.passage);
-  request.deadline = s.task.deadline;
+  request.task = s.task;
   request.owed = !s.at;
   request.sent = loop_->Now();
-  request.class_index = s.task.class_index;
-  classes_.Use(request.class_index);
+  classes_.Use(s.task.class_index);
   request.ends = ends_by_class_[static_cast<std::size_t>(s.task.class_index)];
-  request.cores = s.task.cores;
-  request.memory = s.task.memory;
   if (s.at) {
     request.out = request.standing = true;
     request.attempts = 1;
@@ -189,11 +187,11 @@
   OnOwnerRelease(id, origin);
 }
 
-void Engine::ToldOver(TaskId id, Over over) {
+void Engine::ToldOver(NodeId node, TaskId id, Over over, bool owed) {
   Request* r = Find(id);
   if (r == nullptr) {
-    stray_ends_.Note(StrayEnds::kAnyNode, id, over == Over::kEnded, loop_->Now());
-  } else if (r->standing) {
+    owed ? owners_->Release(0, id, over) : stray_ends_.Note(node, id, over == Over::kEnded, loop_->Now());
+  } else if (r->standing && (owed || r->node == node)) {
     FinishStanding(by_id_.at(id), r, over == Over::kEnded ? Outcome::kOk : Outcome::kAborted, Reason::kUntold,
                    !r->cutting);
   }
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -27,8 +27,16 @@
   void Follow(sites::Sites* sites);
   // What operators took out by hand, from now on; asked of every entry of the list. It outlives the engine.
   void Follow(Rotation* rotation) { rotation_ = rotation; }
-  // Another process of this cluster manager was told that the task is over, and its owner was not.
-  void ToldOver(TaskId id, Over over);
+  // Another process of this cluster manager was told that the task is over. `owed`: its owner was not, and is
+  // told now; else that is left to whoever hands the task over.
+  void ToldOver(NodeId node, TaskId id, Over over, bool owed);
+  // Goes through what stands: (id, task, passage, node).
+  template <typename Each>
+  void ForEachStanding(Each each) {
+    requests_.ForEach([&](Handle, const Request& r) {
+      if (r.standing && !r.cutting) each(r.id, r.task, r.passage, r.node);
+    });
+  }
   const StrayEnds& stray_ends() const { return stray_ends_; }
   // They took this one out, or called it back.
   void Rotated(NodeId node);
@@ -69,14 +77,12 @@
     TaskId id = 0;
     Handle origin = 0;
     Passage passage;
-    Time deadline = 0;
+    passbridge::Task task;
     bool owed = false, out = false, standing = false, cutting = false;
     int attempts = 0;
     NodeId node = 0;
     Time sent = 0;
     Handle timer = 0;
-    double cores = 0, memory = 0;
-    int class_index = 0;
     Ends* ends = nullptr;  // where its end is counted
   };
   struct Listed {
--- a/src/engine/orders.cpp
+++ b/src/engine/orders.cpp
@@ -25,7 +25,7 @@
     return;
   }
   const Handle handle = a.id;
-  const Time until = a.until > 0 ? std::min(a.until, r->deadline) : r->deadline;
+  const Time until = a.until > 0 ? std::min(a.until, r->task.deadline) : r->task.deadline;
   ++r->attempts;
   r->out = true;
   r->node = a.node;
@@ -134,7 +134,7 @@
 
 void Engine::FinishStanding(Handle handle, Request* r, Outcome outcome, Reason reason, bool tell) {
   agents_->Stands(r->node, r->id, false);
-  if (sites_ != nullptr) sites_->TaskOver(r->cores, r->memory, loop_->Now());
+  if (sites_ != nullptr) sites_->TaskOver(r->task.cores, r->task.memory, loop_->Now());
   if (tell) owners_->Release(r->origin, r->id, outcome == Outcome::kOk ? Over::kEnded : Over::kCut);
   EndAttempt(handle, r, outcome, reason, {});
 }
@@ -142,7 +142,7 @@
 void Engine::Erase(Handle handle, Request* r) {
   loop_->TakeDown(r->timer);
   Unowe(r);
-  classes_.Done(r->class_index);
+  classes_.Done(r->task.class_index);
   by_id_.erase(r->id);
   requests_.Erase(handle);
 }
--- a/src/front/answer.cpp
+++ b/src/front/answer.cpp
@@ -106,9 +106,9 @@
   }
 }
 
-std::vector<std::pair<TaskId, Over>> Front::OwedEndsLeft() const {
+std::vector<std::pair<TaskId, Over>> Front::OwedEndsLeft(bool all) const {
   std::vector<std::pair<TaskId, Over>> left;
-  for (const OwedEnds::End& end : ends_.All()) {
+  for (const OwedEnds::End& end : all ? ends_.All() : ends_.Waiting()) {
     left.emplace_back(end.task, static_cast<Cause>(end.cause) == Cause::kEnded ? Over::kEnded : Over::kCut);
   }
   return left;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -96,9 +96,9 @@
   if (empties && quiet_sweep_ == 0) CloseQuiet();
 }
 
-// Guards against ends that could not be told: where tasks stand while an operator empties the cluster manager,
-// one connection that was served stays for them, the youngest, as its owner will hold it for longest. Nothing
-// new is taken on it, or it would never be empty.
+// Guards against ends that could not be told: where tasks stand while an operator empties the cluster
+// manager, one connection that was served stays for them, the youngest, as its owner will hold it for
+// longest. Nothing new is taken on it, or it would never be empty.
 void Front::KeepOneForEnds() {
   const bool needed = door_ == Door::kEmptying && (events_->Standing() > 0 || ends_.waiting() > 0);
   const Owner* kept = owners_.Get(for_ends_);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -42,7 +42,7 @@
   void Finish();                         // closes its side of every connection
   std::size_t size() const { return owners_.size(); }
   std::size_t ends() const { return ends_.size(); }
-  std::vector<std::pair<TaskId, Over>> OwedEndsLeft() const;  // not known to be read
+  std::vector<std::pair<TaskId, Over>> OwedEndsLeft(bool all) const;  // that wait; all: or may be unread
 
   void Answer(Handle origin, TaskId id, std::string_view description) override;
   void Refuse(Handle origin, TaskId id, Time stay_away) override;
--- /dev/null
+++ b/src/handover/handover.h
@@ -0,0 +1,39 @@
+// What a process of a cluster manager passes to the one that takes over from it, as text: the tasks that
+// stand, and the ends that no owner has been heard to know. Free of I/O. Classes and tenants go by name,
+// since each process has positions of its own for them.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "engine/ports.h"
+
+namespace willowrail {
+
+struct PassedTask {
+  TaskId id = 0;
+  NodeId node = 0;
+  std::string class_name, tenant;
+  passbridge::Task task;      // but for its id, class and tenant
+  std::string passage;        // as it goes out to agents
+  std::size_t class_end = 0;  // of the class in it
+};
+
+struct PassedEnd {
+  static constexpr NodeId kAnyNode = 0;
+  TaskId id = 0;
+  NodeId node = kAnyNode;  // where it stood; any: not told, and its owner is owed the end
+  Over over = Over::kCut;
+};
+
+struct Handover {
+  std::vector<PassedTask> tasks;
+  std::vector<PassedEnd> ends;
+};
+
+std::string Write(const Handover& handover);
+// Nothing of a text that cannot be read as a whole: its tasks come by `at` instead, later.
+Handover ReadHandover(std::string_view text);
+
+}  // namespace willowrail
--- a/src/life/node_life.cpp
+++ b/src/life/node_life.cpp
@@ -15,10 +15,22 @@
 
 void NodeLife::Heard(Time now) {
   heard_ = std::max(heard_, now);
+  door_closed_ = false;
   silent_since_ = silent_until_ = 0;
 }
 
-void NodeLife::Asked(Time now) { asked_ = std::max(asked_, now); }
+void NodeLife::Asked(Time now) {
+  asked_ = std::max(asked_, now);
+  if (first_ == 0) first_ = now;
+}
+
+bool NodeLife::Refused(Time dialled) {
+  if (heard_ > 0) return true;
+  door_closed_ = true;
+  if (first_ == 0) first_ = dialled;
+  Unanswered(dialled);
+  return false;
+}
 
 void NodeLife::Unanswered(Time asked) {
   if (asked <= heard_ || asked < told_) return;  // it has spoken since, or left since
@@ -32,7 +44,8 @@
 }
 
 bool NodeLife::Stopped(Time now) const {
-  return leaving() && now - heard_ >= kStoppedAfter && silent_until_ - silent_since_ >= kSilentFor;
+  return leaving() && now - (heard_ > 0 ? heard_ : first_) >= kStoppedAfter &&
+         silent_until_ - silent_since_ >= kSilentFor;
 }
 
 Time NodeLife::WordsUntil(Time now) const { return std::min(now, heard_) + kLastWords; }
--- a/src/life/node_life.h
+++ b/src/life/node_life.h
@@ -55,7 +55,11 @@
   void Heard(Time now);         // any byte from it, or a dial that came up
   void Asked(Time now);         // a test or dial has been sent
   void Unanswered(Time asked);  // it brought nothing in its time; `asked` is when it was sent
-  bool leaving() const { return listed_ == Listed::kLeaving; }
+  // A dial was refused. True where that proves the death of the process: where it has been heard before. A
+  // process that is new itself, and was handed what stands there, meets the closed door of a node that leaves
+  // before the list says so; it is taken for leaving then, until it is heard.
+  bool Refused(Time dialled);
+  bool leaving() const { return listed_ == Listed::kLeaving || door_closed_; }
   bool silent() const { return silent_since_ > 0; }
   Time heard() const { return heard_; }
 
@@ -68,7 +72,9 @@
 
  private:
   Listed listed_ = Listed::kServing;
+  bool door_closed_ = false;  // and nothing was ever heard
   Time heard_ = 0, told_ = 0, asked_ = 0;
+  Time first_ = 0;  // it was dialled or asked first
   // The first and the last since its last word that went unanswered; 0: none has.
   Time silent_since_ = 0, silent_until_ = 0;
 };
--- a/src/roles/serving.cpp
+++ b/src/roles/serving.cpp
@@ -9,7 +9,6 @@
 #include <exception>
 #include <utility>
 
-#include "ends/passed_ends.h"
 #include "net/counters.h"
 #include "net/log.h"
 #include "net/sys.h"
@@ -69,7 +68,11 @@
     engine_.Follow(&rotation_);
     shared_rotation_ = Shared(config_.name, "rotation");
   }
-  if (inherited()) shared_ends_ = Shared(config_.name, "ends");
+  if (inherited()) {
+    shared_handover_ = Shared(config_.name, "handover");
+    if (shared_handover_)
+      shared_handover_->Changed();  // what an earlier process has passed is not for this one
+  }
   FollowOthers();
   bulletin_.TellKnown(config_.known);
   loop_.OnSignal(SIGHUP, [this] { Reload(); });
@@ -148,12 +151,12 @@
 
 // A call may have reached the other process of this cluster manager, while one takes over.
 void Serving::FollowOthers() {
-  if (!shared_rotation_ && !shared_ends_) return;
+  if (!shared_rotation_ && !shared_handover_) return;
   if (const auto told = shared_rotation_ ? shared_rotation_->Changed() : std::nullopt) {
     for (const NodeId node : rotation_.Read(*told, loop_.Now())) engine_.Rotated(node);
   }
-  if (const auto told = shared_ends_ ? shared_ends_->Changed() : std::nullopt) {
-    for (const PassedEnd& end : ReadEnds(*told)) engine_.ToldOver(end.task, end.ended ? Over::kEnded : Over::kCut);
+  if (const auto told = shared_handover_ ? shared_handover_->Changed() : std::nullopt) {
+    if (stop_from_ == 0) TakeOver(ReadHandover(*told));
   }
   loop_.After(kFollow, [this] { FollowOthers(); });
 }
@@ -171,8 +174,8 @@
 }
 
 // --- Signals ---------------------------------------------------------------------------------------------
-// Guards against a file that cannot be read, is cut short or has lost a part: it is found to be good as a whole
-// before anything of it counts, else the settings at hand go on.
+// Guards against a file that cannot be read, is cut short or has lost a part: it is found to be good as a
+// whole before anything of it counts, else the settings at hand go on.
 void Serving::Reload() {
   try {
     const Config fresh = ConfigFromEnvironment(&config_.shape);
@@ -220,9 +223,10 @@
 // An old process that hands over is gone as soon as it has answered all and nobody is connected: only then do
 // owners hand its tasks to the new one. What it has been told and could tell nobody it passes on.
 void Serving::LookWhetherOver() {
-  if (inherited()) PassEnds();
+  if (inherited()) Pass(false);
   const bool settled = loop_.Now() >= stop_from_ && engine_.owed() == 0;
   if (inherited() && ((settled && front_.size() == 0) || loop_.Now() >= stop_by_)) {
+    Pass(true);
     loop_.Stop();
   } else if (!inherited() && settled && front_.idle()) {
     front_.Finish();
@@ -232,17 +236,56 @@
   }
 }
 
-void Serving::PassEnds() {
-  if (!shared_ends_) return;
-  std::vector<PassedEnd> ends;
-  for (const auto& [task, over] : front_.OwedEndsLeft()) ends.push_back({task, over == Over::kEnded});
-  for (const StrayEnds::End& end : engine_.stray_ends().all()) ends.push_back({end.task, end.ended});
-  std::string text = WriteEnds(ends);
-  if (text == ends_passed_) return;
-  if (!shared_ends_->Change([&](const auto&) { return text; })) {
-    Log("%zu ends cannot be passed on: %s", ends.size(), std::strerror(errno));
+// Ends as they come, so that the new process can tell them; the tasks at the last moment, when all that is on
+// its way has either come to stand or not.
+void Serving::Pass(bool tasks) {
+  if (!shared_handover_) return;
+  Handover handover;
+  const passbridge::Settings& settings = engine_.classes().settings();
+  if (tasks) {
+    engine_.ForEachStanding(
+        [&](TaskId id, const passbridge::Task& task, const Passage& passage, NodeId node) {
+          const std::size_t tenant = static_cast<std::size_t>(task.tenant);
+          handover.tasks.push_back({id, node, engine_.classes().NameOf(task.class_index),
+                                    tenant < settings.tenants.size() ? settings.tenants[tenant].name : "",
+                                    task, std::string(passage.bytes.view()), passage.class_end});
+        });
+  }
+  for (const auto& [id, over] : front_.OwedEndsLeft(tasks))
+    handover.ends.push_back({id, PassedEnd::kAnyNode, over});
+  for (const StrayEnds::End& end : engine_.stray_ends().all()) {
+    handover.ends.push_back({end.task, end.node, end.ended ? Over::kEnded : Over::kCut});
+  }
+  std::string text = Write(handover);
+  if (text == passed_) return;
+  if (!shared_handover_->Change([&](const auto&) { return text; })) {
+    Log("%zu tasks and %zu ends cannot be passed on: %s", handover.tasks.size(), handover.ends.size(),
+        std::strerror(errno));
+  }
+  passed_ = std::move(text);
+}
+
+void Serving::TakeOver(const Handover& handover) {
+  std::size_t taken = 0;
+  const passbridge::Settings& settings = engine_.classes().settings();
+  for (const PassedTask& each : handover.tasks) {
+    SetUp s{each.id, 0, each.task, {}, each.node};
+    s.task.class_index = engine_.classes().Position(each.class_name);
+    const auto tenant = std::ranges::find(settings.tenants, each.tenant, &passbridge::TenantSettings::name);
+    s.task.tenant =
+        tenant == settings.tenants.end() ? 0 : static_cast<int>(tenant - settings.tenants.begin());
+    // What cannot be placed here comes by `at`, from owners, as after any restart.
+    if (s.task.class_index < 0) continue;
+    s.passage.bytes = Blocks().Make(each.passage.size());
+    s.passage.bytes.Append(each.passage);
+    s.passage.class_end = each.class_end;
+    taken += engine_.OnSetUp(std::move(s));
+  }
+  for (const PassedEnd& end : handover.ends) {
+    if (!told_.insert(end.id).second) continue;
+    engine_.ToldOver(end.node, end.id, end.over, end.node == PassedEnd::kAnyNode);
   }
-  ends_passed_ = std::move(text);
+  Log("taken over: %zu of %zu tasks, %zu ends", taken, handover.tasks.size(), handover.ends.size());
 }
 
 void Serving::Print() {
--- a/src/roles/serving.h
+++ b/src/roles/serving.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,7 @@
 #include "config/config.h"
 #include "engine/engine.h"
 #include "front/front.h"
+#include "handover/handover.h"
 #include "net/loop.h"
 #include "roles/serve.h"
 #include "rotation/rotation.h"
@@ -40,7 +42,8 @@
   void Reload();
   void Stop();
   void LookWhetherOver();
-  void PassEnds();
+  void Pass(bool tasks);
+  void TakeOver(const Handover& handover);
   void Rotate(const std::string& agent, bool out);
   void FollowOthers();
   void Print();
@@ -54,8 +57,9 @@
   std::optional<sites::Sites> sites_;
   Rotation rotation_{NodeOf};
   // Shared with the process that this one takes over from, and with the next.
-  std::optional<SharedFile> shared_rotation_, shared_ends_;
-  std::string ends_passed_;  // to the next, so far
+  std::optional<SharedFile> shared_rotation_, shared_handover_;
+  std::set<TaskId> told_;  // ends that were taken over
+  std::string passed_;     // to the next, so far
   Engine engine_;
   Pool pool_;
   BulletinReader bulletin_;
--- a/tests/life_test.cpp
+++ b/tests/life_test.cpp
@@ -113,5 +113,19 @@
   }
 }
 
+TEST_CASE("a refused dial proves a death only where the node was heard before") {
+  NodeLife heard, fresh;
+  heard.Heard(kStart);
+  CHECK(heard.Refused(kStart + 1));
+  CHECK_FALSE(heard.leaving());
+  CHECK_FALSE(fresh.Refused(kStart));
+  CHECK(fresh.leaving());
+  fresh.Refused(kStart + kSilentFor);
+  CHECK_FALSE(fresh.Stopped(kStart + kStoppedAfter - 1));
+  CHECK(fresh.Stopped(kStart + kStoppedAfter));
+  fresh.Heard(kStart + kStoppedAfter);
+  CHECK_FALSE(fresh.leaving());
+}
+
 }  // namespace
 }  // namespace willowrail::life
--- a/tests/operations_story_test.cpp
+++ b/tests/operations_story_test.cpp
@@ -96,6 +96,51 @@
   CHECK(old.ExitStatus() == 0);
 }
 
+TEST_CASE_FIXTURE(Operated, "an upgrade: a standing task goes over, and its end is told by the new process") {
+  Program& old = Start();
+  Wire before = Owner();
+  Ask(&before, kTask, "unsafe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Answer(kTask, "here");
+  before.Hear(Type::kAnswer, kTask);
+  Program& fresh = Start();
+  old.Signal(SIGTERM);
+  CHECK(before.Closed());
+  CHECK(old.ExitStatus() == 0);
+  fresh.Logged("taken over: 1 of 1 tasks");
+  CHECK(FiguresOf(fresh.admin_port())["open_requests"] == 1);
+  Wire after = Owner();
+  SUBCASE("its owner hands it over too") {
+    Ask(&after, kTask, "unsafe", 25'000, ";at:s-00000001");
+    fresh.Counted("setups_at_held", 1);
+  }
+  SUBCASE("before its owner does") { CHECK(Passes(&after)); }
+  Wire again = first.Accept();  // a way is kept where it stands
+  again.Say(Type::kRelease, kTask, Cause::kEnded);
+  CHECK(after.Hear(Type::kRelease, kTask).cause == 16);
+  CHECK(FiguresOf(fresh.admin_port())["open_requests"] == 0);
+}
+
+TEST_CASE_FIXTURE(Operated,
+                  "a door that was closed before the new process came proves no death of what stands there") {
+  Program& old = Start();
+  Wire owner = Owner();
+  Ask(&owner, kTask, "unsafe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Answer(kTask, "here");
+  owner.Hear(Type::kAnswer, kTask);
+  first.Close();  // it leaves: its old connection goes on, dials are refused
+  Program& fresh = Start();
+  old.Signal(SIGTERM);
+  CHECK(old.ExitStatus() == 0);
+  fresh.Logged("taken over: 1 of 1 tasks");
+  fresh.Logged("dial refused");
+  fresh.Logged("dial refused");
+  CHECK(FiguresOf(fresh.admin_port())["open_requests"] == 1);
+}
+
 TEST_CASE_FIXTURE(Operated, "an upgrade: what waits in the backlog is not refused, whoever is killed") {
   Start();
   Program& fresh = Start();
