Bind in the awake part of an own share where nodes in use are priced

Cause: with a price of nodes in use every scheduler scanned the whole fleet and filled the same fullest nodes on one late view; own shares and the queue of starts were only there without that price. Offers were answered in time throughout: it is the start after the answer that came late, and that earns a tenth or a fifth.

Change: fleets of many nodes are indexed and shared out with a price as well. Of the own share the fullest nodes that hold its load are awake, by the same fill as before, and one more wakes where none of them fits. Where the answer comes at acceptance, the work of a start weighs on its node until the note that the task runs, not until the answer.

Nothing changes where nodes have no price and the answer comes when the task runs.

--- a/src/decide/attempts.h
+++ b/src/decide/attempts.h
@@ -150,7 +150,7 @@
     r->placed = true;
     r->owed = false;
     Node* n = table.Find(r->node);
-    n->start_queue -= std::exchange(r->start_work, 0);
+    if (settings.placed_when_running) n->start_queue -= std::exchange(r->start_work, 0);
     Answers(n);
     n->answered_at = now;
     tenants.Count(r->task, 1);
--- a/src/decide/health.h
+++ b/src/decide/health.h
@@ -77,6 +77,7 @@
     Request& r = *found;
     Node& n = *table.Find(r.node);
     Book(&n, r, -1);
+    if (e.kind == NoteKind::kRuns) n.start_queue -= std::exchange(r.start_work, 0);
     seen[Index(r.task)].Learn(e, now, &r);
     Book(&n, r, 1);
     if ((e.kind == NoteKind::kServed && e.level < kPoorService) ||
--- a/src/decide/memory.h
+++ b/src/decide/memory.h
@@ -80,7 +80,7 @@
   std::vector<Time> cold_sends;
   std::vector<TurnedAway> turned_away;
   bool home = false;       // of this scheduler
-  double start_queue = 0;  // work of own starts that are still owed an answer, in starts of a kept program
+  double start_queue = 0;  // work of own starts that do not run yet, in starts of a kept program
 
   // In use there: own tasks by their notes, the others by the mean use per asked unit.
   const Room& Used(const UseSums& sums) const {
@@ -307,6 +307,7 @@
   std::vector<Node*> dirty;                           // unknown to the index
   std::vector<RatioIndex> index;                      // by kind
   bool indexed = false, at_home = false;              // at_home: the choice at hand
+  std::size_t awake_homes = 0;                        // the first of the own part
   Time index_at = 0;
   UseSums sums;
   Room mean_indexed{1, 1};
--- a/src/decide/ranking.h
+++ b/src/decide/ranking.h
@@ -44,10 +44,10 @@
   }
   // Exception where nodes in use are priced: the fullest nodes that hold all load at kAwakeFill and more are
   // awake; the rest get nothing while one of the awake fits, and stay whole for large tasks.
-  std::vector<Node*> ByFullness(std::size_t* awake) const {
+  std::vector<Node*> ByFullness(const std::vector<Node*>& of, std::size_t* awake) const {
     std::vector<std::pair<double, Node*>> by_fullness;
     Room load, room;
-    for (Node* n : nodes) {
+    for (Node* n : of) {
       if (!Healthy(*n)) continue;
       const Room& used = Used(*n);
       by_fullness.emplace_back(Wanted(*n) - std::max(used.cores / Cores(*n), used.memory / Memory(*n)), n);
@@ -75,7 +75,7 @@
       FindHomes();
       std::size_t awake = nodes.size();
       std::vector<Node*> fullest;
-      if (settings.fleet_price > 0) fullest = ByFullness(&awake);
+      if (settings.fleet_price > 0) fullest = ByFullness(nodes, &awake);
       const std::vector<Node*>& all = settings.fleet_price > 0 ? fullest : nodes;
       for (const bool comfortable : {true, false}) {
         for (std::size_t i = 0; i < all.size() && (scores.empty() || !comfortable || i < awake); ++i) {
@@ -173,8 +173,9 @@
     const auto consider = [&](Node* n) {
       if (Allowed(n, r) && Comfortable(*n, r)) Take(*n, r, room);
     };
-    for (Node* n : homes) {
-      if (n->asked.cores <= kHomeMost * mean_level * Cores(*n)) consider(n);
+    const bool priced = settings.fleet_price > 0;  // then the awake of its part, and more where none fits
+    for (std::size_t i = 0; i < homes.size() && (i < awake_homes || scores.empty()); ++i) {
+      if (priced || homes[i]->asked.cores <= kHomeMost * mean_level * Cores(*homes[i])) consider(homes[i]);
     }
     for (std::size_t i = 0; !homes.empty() && i < around.size(); ++i) {
       if (Node* n = table.Find(around[i].entry->node); !n->home) consider(n);
@@ -183,6 +184,7 @@
     return at_home = !scores.empty();
   }
   // In which zone the others are is not told: that they stand in turn, by number, is as good a guess as any.
+  // Where nodes in use are priced its fullest come first, and the awake of them are filled.
   void FindOwnPart() {
     cold.clear();
     std::ranges::copy_if(nodes, std::back_inserter(cold), [this](const Node* n) { return Cold(*n); });
@@ -190,12 +192,15 @@
     std::set<int> zones;
     for (const Node* n : nodes) zones.insert(n->entry.zone);
     const int count = std::max<int>(1, static_cast<int>(zones.size()));
-    const int parts = indexed ? (settings.scheduler_count + count - 1) / count : 1;
+    const int parts = indexed ? (settings.scheduler_count + count - 1) / count : 0;
+    const int least = settings.fleet_price > 0 ? 0 : 1;  // one part is no part, but the awake of it
     for (Node* n : nodes) {
       const int part = static_cast<int>(willowrail::HashDraw(0, n->entry.node) * parts);
-      n->home = parts > 1 && n->entry.zone == settings.zone && part == settings.ordinal / count % parts;
+      n->home = parts > least && n->entry.zone == settings.zone && part == settings.ordinal / count % parts;
       if (n->home) homes.push_back(n);
     }
+    awake_homes = homes.size();
+    if (settings.fleet_price > 0) homes = ByFullness(homes, &awake_homes);
   }
   void Refresh() {
     const auto moved = [](double a, double b) { return std::abs(a - b) > kDrift * b; };
@@ -207,6 +212,7 @@
       for (std::size_t i = 0; drifted && i < nodes.size(); ++i) Write(nodes[i]);
       for (Node* n : cold) Write(n);
       FindHomes();
+      if (settings.fleet_price > 0) FindOwnPart();
       Room asked, all;
       for (const Node* n : nodes) {
         asked.Add(Healthy(*n), n->asked);
@@ -237,7 +243,7 @@
   }
   // After the list has changed. A few nodes are scanned faster than an index of them is kept.
   void IndexOrNot(bool anew = false) {
-    const bool many = settings.view && settings.fleet_price <= 0 && nodes.size() > kIndexFrom;
+    const bool many = settings.view && nodes.size() > kIndexFrom;
     if (many == std::exchange(indexed, many) && !anew) return;
     for (const RatioIndex& each : index) looked += each.looked();
     index.assign(many ? settings.kind_cores.size() : 0, {});
