--- a/tests/hard_case_test.cpp
+++ b/tests/hard_case_test.cpp
@@ -1,5 +1,5 @@
 // Stories of several small troubles at once, each of which is met alone elsewhere.
-#include "story.h"
+#include "story_site.h"
 
 namespace willowrail::story {
 namespace {
--- a/tests/heirs_test.cpp
+++ b/tests/heirs_test.cpp
@@ -5,7 +5,7 @@
 #include <thread>
 #include <vector>
 
-#include "story.h"
+#include "story_site.h"
 
 namespace willowrail::story {
 namespace {
--- a/tests/operations_story_test.cpp
+++ b/tests/operations_story_test.cpp
@@ -1,53 +1,9 @@
 // Stories of daily operation: the real program, drained, upgraded and told what to leave out by operators.
-#include <filesystem>
-#include <vector>
-
-#include "story.h"
-#include "story_http.h"
+#include "story_operated.h"
 
 namespace willowrail::story {
 namespace {
 
-constexpr TaskId kTask = 0x7f3a9c21e0b4d655, kOther = 0x1122334455667788;
-
-bool Passes(Wire* owner) {
-  owner->Say(Type::kTest, 1, Cause::kTestFailed);
-  return owner->Hear(Type::kTestResult, 1).cause == 1;
-}
-
-// A bulletin that is read, two agents of which the first is preferred, and a platform that holds the owners'
-// socket over the life of a process.
-struct Operated {
-  Port bulletin, first, second, owners;
-  std::filesystem::path tmp;
-  std::vector<std::unique_ptr<Program>> lives;
-  std::vector<Wire> lists;
-
-  Operated() {
-    std::string name = (std::filesystem::temp_directory_path() / "willowrail-shared-XXXXXX").string();
-    REQUIRE(::mkdtemp(name.data()) != nullptr);
-    tmp = name;
-  }
-  ~Operated() {
-    lives.clear();
-    std::filesystem::remove_all(tmp);
-  }
-  json Nodes() const {
-    return {Node("s-00000001", first.endpoint(), 10), Node("s-00000002", second.endpoint(), 5)};
-  }
-  // Starts one more process and serves it the list; the owners' socket is inherited or its own.
-  Program& Start(bool inherit = true) {
-    lives.push_back(std::make_unique<Program>(Nodes(), bulletin, Settings(), 0, 0,
-                                              Platform{inherit ? owners.socket() : -1, tmp.string(), true}));
-    lists.push_back(bulletin.Accept());
-    lists.back().Bytes();
-    lists.back().Raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n");
-    Until(lives.back()->admin_port(), "/v1/readyz", true);
-    return *lives.back();
-  }
-  Wire Owner() const { return Wire::To(owners.number()); }
-};
-
 TEST_CASE_FIXTURE(Operated,
                   "an upgrade: the new process serves where the old one did, and the old one ends") {
   Program& old = Start();
@@ -141,6 +97,30 @@
   CHECK(FiguresOf(fresh.admin_port())["open_requests"] == 1);
 }
 
+TEST_CASE_FIXTURE(Operated,
+                  "two upgrades in a row, and a new process that is killed before anybody relies on it") {
+  Program& one = Start();
+  Wire owner = Owner();
+  Ask(&owner, kTask, "unsafe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Answer(kTask, "here");
+  owner.Hear(Type::kAnswer, kTask);
+  Start();
+  lives.pop_back();  // killed just after its yes: the old one was told nothing, and serves on
+  lists.pop_back();
+  CHECK(Passes(&owner));
+  Program& two = Start();
+  one.Signal(SIGTERM);
+  CHECK(one.ExitStatus() == 0);
+  two.Logged("taken over: 1 of 1 tasks");
+  Program& three = Start();
+  two.Signal(SIGTERM);
+  CHECK(two.ExitStatus() == 0);
+  three.Logged("taken over: 1 of 1 tasks");
+  CHECK(FiguresOf(three.admin_port())["open_requests"] == 1);
+}
+
 TEST_CASE_FIXTURE(Operated, "an upgrade: what waits in the backlog is not refused, whoever is killed") {
   Start();
   Program& fresh = Start();
--- a/tests/story_http.h
+++ b/tests/story_http.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <utility>
 
-#include "story.h"
+#include "story_site.h"
 
 namespace willowrail::story {
 
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -1,7 +1,7 @@
 // Stories over loopback: the real program among scripted owners, agents and a bulletin, one for each failure
 // met or guarded against. Most tasks are unsafe, so that no time-out moves them on where a machine is slow.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "story.h"
+#include "story_site.h"
 
 #include <atomic>
 #include <map>
