Set descriptors aside for operators; choose the way for ends before a set-up is taken

And one story was wrong: it let an agent's connection go at once, so that the agent was set aside (out_of_rotation 2 for 1).

"taken over" is logged where something was.

--- a/src/front/receive.cpp
+++ b/src/front/receive.cpp
@@ -91,6 +91,7 @@
     Trusted(owner);
     return Verdict::kTaken;
   }
+  if (door_ == Door::kEmptying) KeepOneForEnds();
   if (!again && (owner->open.size() >= kMostOpen || connection.tag == for_ends_)) {
     ++counters.setups_over_most;
     events_->OnTurnedAway(s.task.class_index);
--- a/src/roles/serving.cpp
+++ b/src/roles/serving.cpp
@@ -55,7 +55,8 @@
       config_(std::move(config)),
       deployment_(sites::DeploymentOf(config_.settings, config_.zones)),
       engine_(&loop_, config_.settings, Seeded(config_.seed)),
-      pool_(&loop_, {config_.dial_timeout, config_.keepalive}, config_.sockets, config_.seed, &engine_),
+      pool_(&loop_, {config_.dial_timeout, config_.keepalive}, ForOthers(config_.sockets), config_.seed,
+            &engine_),
       bulletin_(&loop_, config_, &engine_),
       front_(&loop_, config_, engine_.classes(), &engine_) {
   engine_.Connect(&front_, &pool_, &bulletin_);
@@ -64,6 +65,7 @@
     engine_.Follow(&*sites_);
     Log("sites: the plan of %s is followed", files_.sites.c_str());
   }
+  front_.SetMost(ForOthers(config_.sockets));
   if (config_.admin) {
     engine_.Follow(&rotation_);
     shared_rotation_ = Shared(config_.name, "rotation");
@@ -87,6 +89,10 @@
   if (inherited()) BeginWhenReady();
 }
 
+int Serving::ForOthers(int sockets) const {
+  return config_.admin ? sockets - static_cast<int>(Admin::kMost) - 1 : sockets;
+}
+
 void Serving::Run() {
   loop_.Run();
   loop_.FlushAll();
@@ -184,7 +190,7 @@
     front_.Bound();
     bulletin_.MoveTo(fresh.bulletin, fresh.known);
     pool_.SetTimes({fresh.dial_timeout, fresh.keepalive});
-    front_.SetMost(fresh.sockets);
+    front_.SetMost(ForOthers(fresh.sockets));
     ++counters.reloads;
     Log("configuration read again, bulletin at %s, classes: %d new, %d changed, %d dropped",
         AddressText(fresh.bulletin).c_str(), change.added, change.changed, change.dropped);
@@ -281,11 +287,14 @@
     s.passage.class_end = each.class_end;
     taken += engine_.OnSetUp(std::move(s));
   }
+  std::size_t ends = 0;
   for (const PassedEnd& end : handover.ends) {
     if (!told_.insert(end.id).second) continue;
+    ++ends;
     engine_.ToldOver(end.node, end.id, end.over, end.node == PassedEnd::kAnyNode);
   }
-  Log("taken over: %zu of %zu tasks, %zu ends", taken, handover.tasks.size(), handover.ends.size());
+  if (handover.tasks.empty() && ends == 0) return;
+  Log("taken over: %zu of %zu tasks, %zu ends", taken, handover.tasks.size(), ends);
 }
 
 void Serving::Print() {
--- a/src/roles/serving.h
+++ b/src/roles/serving.h
@@ -38,6 +38,8 @@
 
  private:
   bool inherited() const { return config_.listen_socket >= 0; }
+  // Descriptors for all but operators, who have theirs beside them.
+  int ForOthers(int sockets) const;
   void BeginWhenReady();
   void Reload();
   void Stop();
--- a/tests/operations_story_test.cpp
+++ b/tests/operations_story_test.cpp
@@ -165,7 +165,8 @@
   CHECK(program.ExitStatus() == 0);
   Wire again = Owner();
   Ask(&again, kOther, "safe");
-  first.Accept().Hear(Type::kSetUp, kOther);
+  Wire back = first.Accept();  // it stays open: an agent that breaks off would be set aside
+  back.Hear(Type::kSetUp, kOther);
   CHECK(FiguresOf(fresh.admin_port())["out_of_rotation"] == 1);
 }
 
