Ban an agent also where that cannot be written down; leave ends out of a test's answer

Saw: with TMPDIR missing or not writable, a suspend was answered yes and banned nothing: Rotate (roles/serving.cpp) decided only inside the change of the shared file. It decides in any case now, and says where it is not written down.

--- a/src/front/answer.cpp
+++ b/src/front/answer.cpp
@@ -88,8 +88,7 @@
   Owner* owner = AnyWay(origin, end.shunned);
   if (owner == nullptr && end.shunned != 0) owner = AnyWay(origin, 0);
   const Time now = loop_->Now();
-  const Time held_most = door_ == Door::kOpen ? kHeldMost : 0;
-  if (owner == nullptr || (!owner->trusted && now - end.since < held_most)) return false;
+  if (owner == nullptr || (!owner->trusted && now - end.since < kHeldMost)) return false;
   // Guards against an end that is told to a bad client alone: there only its word counts as read.
   ends_.Written(end.task, owner->connection->tag, owner->confirms || !owner->trusted, now);
   const auto type = static_cast<Type>(end.kind);
--- a/src/front/receive.cpp
+++ b/src/front/receive.cpp
@@ -60,8 +60,6 @@
       Writer(connection.out(), Type::kTestResult, m.task)
           .Add(door_ == Door::kOpen || door_ == Door::kHandingOver ? Cause::kTestPassed : Cause::kTestFailed);
       owner->spoke = true;
-      // While connections are let go, the front's questions are often the only way that is left to owners.
-      if (door_ == Door::kEmptying && ends_.waiting() > 0) SendOwed();
       return true;
     case Type::kReleaseHeard:
       ++counters.owner_heard;
--- a/src/roles/serving.cpp
+++ b/src/roles/serving.cpp
@@ -138,17 +138,19 @@
 }
 
 void Serving::Rotate(const std::string& agent, bool out) {
-  bool changed = false;
+  bool changed = false, decided = false;
   std::vector<NodeId> others;
   const auto change = [&](const std::optional<std::string>& now) {
+    decided = true;
     if (now) others = rotation_.Read(*now, loop_.Now());
     changed = out ? rotation_.TakeOut(agent) : rotation_.BringBack(agent, loop_.Now());
     return rotation_.Write();
   };
-  if (!shared_rotation_ || !shared_rotation_->Change(change)) {
-    if (shared_rotation_) Log("agent %s: not written down: %s", agent.c_str(), std::strerror(errno));
-    if (!shared_rotation_) change(std::nullopt);
+  if (shared_rotation_ && !shared_rotation_->Change(change)) {
+    Log("agent %s: not written down, it holds in this process alone", agent.c_str());
   }
+  // Guards against a yes that bans nothing: a folder that cannot be written takes nothing from what was said.
+  if (!decided) change(std::nullopt);
   for (const NodeId node : others) engine_.Rotated(node);
   if (!changed) return;
   Log("agent %s: %s by an operator", agent.c_str(), out ? "taken out" : "called back");
--- a/src/rotation/shared_file.h
+++ b/src/rotation/shared_file.h
@@ -15,9 +15,8 @@
 
   // What it holds, where that is not what was read or written here last. Nothing where there is no file.
   std::optional<std::string> Changed();
-  // Replaces it by what `change` makes of what it holds now (nothing where there is none). False, with the
-  // reason logged by the caller from errno, where the folder cannot be written: what was decided holds here
-  // alone.
+  // Replaces it by what `change` makes of what it holds now (nothing where there is none). False where the
+  // folder cannot be written; `change` may not have been asked then.
   bool Change(const std::function<std::string(const std::optional<std::string>& now)>& change);
 
  private:
--- a/tests/operations_story_test.cpp
+++ b/tests/operations_story_test.cpp
@@ -170,6 +170,20 @@
   CHECK(FiguresOf(fresh.admin_port())["out_of_rotation"] == 1);
 }
 
+TEST_CASE_FIXTURE(Operated, "an agent is out also where that cannot be written down") {
+  const std::filesystem::path kept = tmp;
+  tmp /= "none";
+  Program& program = Start(false);
+  tmp = kept;
+  CHECK(Post(program.admin_port(), "/v1/agents/s-00000001/suspend").yes());
+  CHECK(FiguresOf(program.admin_port())["out_of_rotation"] == 1);
+  Wire owner = program.Owner();
+  Ask(&owner, kTask, "safe");
+  Wire there = second.Accept();
+  there.Hear(Type::kSetUp, kTask);
+  CHECK_FALSE(first.Dialled());
+}
+
 TEST_CASE_FIXTURE(
     Operated,
     "drained, the program says no, lets connections go and serves whoever comes; then it is active again") {
