Write what two processes share on a thread: a busy disk stalled the loop, ends came late

Checked: with times traced in SharedFile::Change and a disk kept busy, open, lock and write took under 1 ms (once 110), the rename that replaced the file 0.4 to 1.5 s: the file system brings a replacing file to the disk first. Each suspend and resume, and each pass of an upgrade, made the event loop wait for it (rotation/shared_file.cpp, roles/serving.cpp). Ruled out: the lock, a lack of processor time (0.02 s in the busiest second).

Design: src/exchange holds the files and a thread; the loop asks, goes on, and is woken by libev when there is news. Files are written in place, with length, hash and time in the first line, under flock; readers take no lock. A call holds here at once and is kept until it is known to be in the text (src/rotation). Rejected: a shared mapping (its pages wait for the disk as well), one file a change (a folder to clear up), only writing in place (a new file's first write took 110 ms).

Tests: a torn file, a held lock, the same text twice, calls over an older text, a story in which the lock is held while a ban is asked for and a task is served. That a start waits for no lock either was found by the second: it hung.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -34,6 +34,7 @@
 Loop::~Loop() {
   buried_.clear();
   for (const auto& signal : signals_) ev_signal_stop(loop_, &signal->watcher);
+  for (const auto& wake : wakes_) ev_async_stop(loop_, &wake->watcher);
   ev_timer_stop(loop_, &timer_);
   ev_prepare_stop(loop_, &prepare_);
   ev_loop_destroy(loop_);
@@ -55,6 +56,17 @@
   ev_signal_start(loop_, &signal->watcher);
 }
 
+std::function<void()> Loop::Waker(std::function<void()> what) {
+  wakes_.push_back(std::make_unique<Wake>());
+  Wake* wake = wakes_.back().get();
+  wake->what = std::move(what);
+  ev_async_init(&wake->watcher,
+                [](struct ev_loop*, ev_async* w, int) { static_cast<Wake*>(w->data)->what(); });
+  wake->watcher.data = wake;
+  ev_async_start(loop_, &wake->watcher);
+  return [this, wake] { ev_async_send(loop_, &wake->watcher); };
+}
+
 // Marked, not taken out: a connection may end while the list is being gone through.
 void Loop::Forget(Connection* connection) { std::ranges::replace(to_flush_, connection, nullptr); }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -32,6 +32,8 @@
   Handle After(Time delay, Callback what) { return At(Now() + delay, what); }
   void TakeDown(Handle handle) { wheel_.TakeDown(handle); }
   void OnSignal(int number, std::function<void()> what);
+  // What other threads call, as long as the loop lives, to have `what` done here; calls may fall together.
+  std::function<void()> Waker(std::function<void()> what);
   // The connection is flushed before the loop sleeps again, in the order of these calls.
   void FlushSoon(Connection* connection) { to_flush_.push_back(connection); }
   void Forget(Connection* connection);
@@ -55,6 +57,10 @@
     ev_signal watcher;
     std::function<void()> what;
   };
+  struct Wake {
+    ev_async watcher;
+    std::function<void()> what;
+  };
   void BeforeSleep();
 
   struct ev_loop* loop_;
@@ -67,6 +73,7 @@
   std::vector<std::unique_ptr<Connection>> buried_;
   std::vector<char> scratch_ = std::vector<char>(kScratch);
   std::vector<std::unique_ptr<Signal>> signals_;
+  std::vector<std::unique_ptr<Wake>> wakes_;
   std::vector<std::string> spare_;
 };
 
--- a/src/roles/serving.cpp
+++ b/src/roles/serving.cpp
@@ -1,12 +1,13 @@
 #include "roles/serving.h"
 
 #include <algorithm>
-#include <cerrno>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <exception>
+#include <initializer_list>
 #include <utility>
 
 #include "net/counters.h"
@@ -35,17 +36,20 @@
 // An old process is killed after the longest deadline, or the first of these, and the second; it has answered
 // all by the third before that.
 constexpr Time kOldMost = 5 * kSecond, kOldLast = 700 * kMs, kOldMargin = 400 * kMs;
-constexpr Time kFollow = 25 * kMs;  // of what another process of this cluster manager was told
+constexpr std::chrono::milliseconds kFollow{25};  // of what another process of this cluster manager was told
 
 std::uint64_t Seeded(std::uint64_t seed) { return hash_seed = seed; }
 
-std::optional<SharedFile> Shared(const std::string& name, const char* what) {
+// Where the files of the exchange lie; nothing where the platform gives no place for them.
+std::vector<std::string> Shared(const std::string& name, std::initializer_list<const char*> what) {
   const char* folder = std::getenv("TMPDIR");
-  if (folder == nullptr || *folder == '\0') return std::nullopt;
+  if (folder == nullptr || *folder == '\0') return {};
   std::string plain = name;
   std::ranges::replace_if(
       plain, [](char c) { return c == '/' || c == '\0'; }, '_');
-  return SharedFile(std::string(folder) + "/willowrail." + plain + "." + what);
+  std::vector<std::string> paths;
+  for (const char* each : what) paths.push_back(std::string(folder) + "/willowrail." + plain + "." + each);
+  return paths;
 }
 
 }  // namespace
@@ -66,16 +70,8 @@
     Log("sites: the plan of %s is followed", files_.sites.c_str());
   }
   front_.SetMost(ForOthers(config_.sockets));
-  if (config_.admin) {
-    engine_.Follow(&rotation_);
-    shared_rotation_ = Shared(config_.name, "rotation");
-  }
-  if (inherited()) {
-    shared_handover_ = Shared(config_.name, "handover");
-    if (shared_handover_)
-      shared_handover_->Changed();  // what an earlier process has passed is not for this one
-  }
-  FollowOthers();
+  if (config_.admin) engine_.Follow(&rotation_);
+  OpenExchange();
   bulletin_.TellKnown(config_.known);
   loop_.OnSignal(SIGHUP, [this] { Reload(); });
   loop_.OnSignal(SIGTERM, [this] { Stop(); });
@@ -96,6 +92,7 @@
 void Serving::Run() {
   loop_.Run();
   loop_.FlushAll();
+  if (exchange_) exchange_->Finish();
   Print();
 }
 
@@ -137,36 +134,38 @@
   return true;
 }
 
+// It holds here from now on; the other process, while one takes over, learns it from the file.
 void Serving::Rotate(const std::string& agent, bool out) {
-  bool changed = false, decided = false;
-  std::vector<NodeId> others;
-  const auto change = [&](const std::optional<std::string>& now) {
-    decided = true;
-    if (now) others = rotation_.Read(*now, loop_.Now());
-    changed = out ? rotation_.TakeOut(agent) : rotation_.BringBack(agent, loop_.Now());
-    return rotation_.Write();
-  };
-  if (shared_rotation_ && !shared_rotation_->Change(change)) {
-    Log("agent %s: not written down, it holds in this process alone", agent.c_str());
-  }
-  // Guards against a yes that bans nothing: a folder that cannot be written takes nothing from what was said.
-  if (!decided) change(std::nullopt);
-  for (const NodeId node : others) engine_.Rotated(node);
+  const bool changed = out ? rotation_.TakeOut(agent) : rotation_.BringBack(agent, loop_.Now());
+  if (exchange_) exchange_->Ask(kRotationFile, rotation_.calls(), rotation_.Writer());
   if (!changed) return;
   Log("agent %s: %s by an operator", agent.c_str(), out ? "taken out" : "called back");
   engine_.Rotated(NodeOf(agent));
 }
 
-// A call may have reached the other process of this cluster manager, while one takes over.
-void Serving::FollowOthers() {
-  if (!shared_rotation_ && !shared_handover_) return;
-  if (const auto told = shared_rotation_ ? shared_rotation_->Changed() : std::nullopt) {
-    for (const NodeId node : rotation_.Read(*told, loop_.Now())) engine_.Rotated(node);
+void Serving::OpenExchange() {
+  const std::vector<std::string> paths = Shared(config_.name, {"rotation", "handover"});
+  if (paths.empty() || !(config_.admin || inherited())) return;
+  exchange_.emplace(paths, kFollow, loop_.Waker([this] { OnNews(); }));
+  for (const Exchange::News& news : exchange_->Take()) {
+    // What an earlier process has passed on is not for this one; its bans are.
+    if (news.file == kRotationFile && config_.admin) rotation_.Read(*news.text, 0, loop_.Now());
   }
-  if (const auto told = shared_handover_ ? shared_handover_->Changed() : std::nullopt) {
-    if (stop_from_ == 0) TakeOver(ReadHandover(*told));
+}
+
+void Serving::OnNews() {
+  for (const Exchange::News& news : exchange_->Take()) {
+    if (news.error != 0 && !std::exchange(unwritten_told_, true)) {
+      Log("what the next process is to know cannot be written down, it holds here alone: %s",
+          std::strerror(news.error));
+    }
+    if (!news.text) continue;
+    if (news.file == kRotationFile && config_.admin) {
+      for (const NodeId node : rotation_.Read(*news.text, news.written, loop_.Now())) engine_.Rotated(node);
+    } else if (news.file == kHandoverFile && inherited() && stop_from_ == 0) {
+      TakeOver(ReadHandover(*news.text));
+    }
   }
-  loop_.After(kFollow, [this] { FollowOthers(); });
 }
 
 void Serving::Drain() {
@@ -247,7 +246,7 @@
 // Ends as they come, so that the new process can tell them; the tasks at the last moment, when all that is on
 // its way has either come to stand or not.
 void Serving::Pass(bool tasks) {
-  if (!shared_handover_) return;
+  if (!exchange_) return;
   Handover handover;
   const passbridge::Settings& settings = engine_.classes().settings();
   if (tasks) {
@@ -266,10 +265,7 @@
   }
   std::string text = Write(handover);
   if (text == passed_) return;
-  if (!shared_handover_->Change([&](const auto&) { return text; })) {
-    Log("%zu tasks and %zu ends cannot be passed on: %s", handover.tasks.size(), handover.ends.size(),
-        std::strerror(errno));
-  }
+  exchange_->Ask(kHandoverFile, ++passes_, [text](const auto&) { return text; });
   passed_ = std::move(text);
 }
 
--- a/src/roles/serving.h
+++ b/src/roles/serving.h
@@ -13,12 +13,12 @@
 #include "bulletin/reader.h"
 #include "config/config.h"
 #include "engine/engine.h"
+#include "exchange/exchange.h"
 #include "front/front.h"
 #include "handover/handover.h"
 #include "net/loop.h"
 #include "roles/serve.h"
 #include "rotation/rotation.h"
-#include "rotation/shared_file.h"
 #include "sites/sites.h"
 
 namespace willowrail {
@@ -47,7 +47,8 @@
   void Pass(bool tasks);
   void TakeOver(const Handover& handover);
   void Rotate(const std::string& agent, bool out);
-  void FollowOthers();
+  void OpenExchange();
+  void OnNews();
   void Print();
 
   const Files files_;
@@ -58,15 +59,18 @@
   sites::Deployment deployment_;
   std::optional<sites::Sites> sites_;
   Rotation rotation_{NodeOf};
-  // Shared with the process that this one takes over from, and with the next.
-  std::optional<SharedFile> shared_rotation_, shared_handover_;
+  // Of the exchange with the process that this one takes over from, and with the next.
+  static constexpr std::size_t kRotationFile = 0, kHandoverFile = 1;
   std::set<TaskId> told_;  // ends that were taken over
   std::string passed_;     // to the next, so far
+  std::uint64_t passes_ = 0;
+  bool unwritten_told_ = false;  // that the exchange cannot be written
   Engine engine_;
   Pool pool_;
   BulletinReader bulletin_;
   Front front_;
   std::optional<Admin> admin_;
+  std::optional<Exchange> exchange_;  // the last: its thread ends first
 };
 
 }  // namespace willowrail
--- a/src/rotation/rotation.cpp
+++ b/src/rotation/rotation.cpp
@@ -4,18 +4,26 @@
 
 namespace willowrail {
 
-bool Rotation::TakeOut(const std::string& id) {
-  if (!out_.insert(id).second) return false;
-  out_nodes_.insert(number_(id));
-  back_.erase(number_(id));
+bool Rotation::Set(const std::string& id, bool out, Time now) {
+  if (!(out ? out_.insert(id).second : out_.erase(id) > 0)) return false;
+  if (out) {
+    out_nodes_.insert(number_(id));
+    back_.erase(number_(id));
+  } else {
+    out_nodes_.erase(number_(id));
+    back_[number_(id)] = now;
+  }
   return true;
 }
 
+bool Rotation::TakeOut(const std::string& id) {
+  unwritten_[id] = {++calls_, true};
+  return Set(id, true, 0);
+}
+
 bool Rotation::BringBack(const std::string& id, Time now) {
-  if (out_.erase(id) == 0) return false;
-  out_nodes_.erase(number_(id));
-  back_[number_(id)] = now;
-  return true;
+  unwritten_[id] = {++calls_, false};
+  return Set(id, false, now);
 }
 
 passbridge::NodeEntry Rotation::AsDecided(passbridge::NodeEntry entry) const {
@@ -28,26 +36,47 @@
   return entry;
 }
 
-std::string Rotation::Write() const {
-  std::string text;
-  for (const std::string& id : out_) text += id + "\n";
-  return text;
-}
-
-std::vector<Rotation::NodeId> Rotation::Read(std::string_view text, Time now) {
-  std::set<std::string> told;
+Rotation::Ids Rotation::IdsOf(std::string_view text) {
+  Ids ids;
   while (!text.empty()) {
     const std::size_t end = text.find('\n');
     if (end == std::string_view::npos) break;  // cut short: not an id
-    if (end > 0) told.emplace(text.substr(0, end));
+    if (end > 0) ids.emplace(text.substr(0, end));
     text.remove_prefix(end + 1);
   }
+  return ids;
+}
+
+void Rotation::Carry(const Calls& calls, Ids* ids) {
+  for (const auto& [id, call] : calls) {
+    if (call.out) {
+      ids->insert(id);
+    } else {
+      ids->erase(id);
+    }
+  }
+}
+
+std::function<std::string(const std::optional<std::string>&)> Rotation::Writer() const {
+  return [calls = unwritten_, all = out_](const std::optional<std::string>& text) {
+    Ids ids = text ? IdsOf(*text) : all;
+    Carry(calls, &ids);
+    std::string fresh;
+    for (const std::string& id : ids) fresh += id + "\n";
+    return fresh;
+  };
+}
+
+std::vector<Rotation::NodeId> Rotation::Read(std::string_view text, std::uint64_t written, Time now) {
+  std::erase_if(unwritten_, [&](const auto& each) { return each.second.number <= written; });
+  Ids told = IdsOf(text);
+  Carry(unwritten_, &told);
   std::vector<NodeId> changed;
   for (const std::string& id : std::vector<std::string>(out_.begin(), out_.end())) {
-    if (!told.contains(id) && BringBack(id, now)) changed.push_back(number_(id));
+    if (!told.contains(id) && Set(id, false, now)) changed.push_back(number_(id));
   }
   for (const std::string& id : told) {
-    if (TakeOut(id)) changed.push_back(number_(id));
+    if (Set(id, true, now)) changed.push_back(number_(id));
   }
   return changed;
 }
--- a/src/rotation/rotation.h
+++ b/src/rotation/rotation.h
@@ -1,12 +1,15 @@
 // Agents that operators have taken out of rotation by hand. The ban is on an id, until it is called back:
 // whatever the list says meanwhile, over a new life of the agent, a new configuration and an upgrade. The
 // engine asks it of every entry before the module sees it; to the module a banned agent is one that drains.
-// No I/O: what two processes of one cluster manager share of it goes through SharedFile.
+// No I/O: what two processes of one cluster manager share of it is a text, an id a line in order, that each
+// of them changes by its calls. A call holds here at once; until it is known to be in the text it is kept,
+// and holds over whatever the text says.
 #pragma once
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -36,15 +39,30 @@
   passbridge::NodeEntry AsDecided(passbridge::NodeEntry entry) const;
   void Gone(NodeId node) { back_.erase(node); }  // it has left the list
 
-  // An id a line, in order. Read takes over another process's and returns the nodes that changed.
-  std::string Write() const;
-  std::vector<NodeId> Read(std::string_view text, Time now);
+  // What makes of the text one that holds the calls here as well; the whole of what is out here where there
+  // is no text. Good without this object. `calls` is the number of the last call in it.
+  std::uint64_t calls() const { return calls_; }
+  std::function<std::string(const std::optional<std::string>& text)> Writer() const;
+  // The text as it is now, with the calls up to `written` in it. Returns the nodes that changed.
+  std::vector<NodeId> Read(std::string_view text, std::uint64_t written, Time now);
 
  private:
+  struct Call {
+    std::uint64_t number = 0;
+    bool out = false;
+  };
+  using Ids = std::set<std::string, std::less<>>;
+  using Calls = std::map<std::string, Call>;
+  static Ids IdsOf(std::string_view text);
+  static void Carry(const Calls& calls, Ids* ids);
+  bool Set(const std::string& id, bool out, Time now);
+
   Number number_;
-  std::set<std::string, std::less<>> out_;
+  Ids out_;
   std::set<NodeId> out_nodes_;
   std::map<NodeId, Time> back_;  // when it was called back
+  std::uint64_t calls_ = 0;
+  Calls unwritten_;  // the last one for each id
 };
 
 }  // namespace willowrail
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -2,12 +2,19 @@
 #include "handover/handover.h"
 
 #include <doctest/doctest.h>
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
 
+#include <atomic>
+#include <chrono>
 #include <filesystem>
+#include <fstream>
 #include <string>
 
+#include "exchange/exchange.h"
+#include "exchange/shared_file.h"
 #include "rotation/rotation.h"
-#include "rotation/shared_file.h"
 
 namespace willowrail {
 namespace {
@@ -65,14 +72,78 @@
   REQUIRE(::mkdtemp(folder.data()) != nullptr);
   SharedFile one(folder + "/f"), two(folder + "/f");
   CHECK_FALSE(one.Changed());
-  CHECK(one.Change([](const auto& now) { return now ? "again" : "first"; }));
+  CHECK(one.Replace([](const auto& now) { return now ? "again" : "first"; }));
   CHECK_FALSE(one.Changed());
   CHECK(two.Changed() == "first");
   CHECK_FALSE(two.Changed());
-  CHECK(two.Change([](const auto& now) { return now.value_or("") + "+"; }));
+  CHECK(two.Replace([](const auto& now) { return now.value_or("") + "+"; }));
+  CHECK(one.Changed() == "first+");
+  CHECK(two.Replace([](const auto& now) { return *now; }));  // the same text again is news
   CHECK(one.Changed() == "first+");
   SharedFile nowhere(folder + "/none/f");
-  CHECK_FALSE(nowhere.Change([](const auto&) { return "x"; }));
+  CHECK_FALSE(nowhere.Replace([](const auto&) { return "x"; }));
+  std::filesystem::remove_all(folder);
+}
+
+TEST_CASE("a shared file that a killed writer has left in pieces holds no text, and is written whole again") {
+  std::string folder = (std::filesystem::temp_directory_path() / "willowrail-file-XXXXXX").string();
+  REQUIRE(::mkdtemp(folder.data()) != nullptr);
+  const std::string path = folder + "/f";
+  SharedFile writer(path);
+  REQUIRE(writer.Replace([](const auto&) { return std::string(5000, 'a'); }));
+  const std::uintmax_t size = std::filesystem::file_size(path);
+  for (const std::uintmax_t left : {std::uintmax_t{0}, std::uintmax_t{7}, size / 2, size - 1}) {
+    std::filesystem::resize_file(path, left);
+    CHECK_FALSE(SharedFile(path).Changed());
+  }
+  std::filesystem::resize_file(path, size);  // as long as it was, the rest is not
+  CHECK_FALSE(SharedFile(path).Changed());
+  std::ofstream(path) << "s-1\n";  // of no writer of ours
+  CHECK_FALSE(SharedFile(path).Changed());
+  bool none = false;
+  CHECK(writer.Replace([&](const auto& now) {
+    none = !now;
+    return "b";
+  }));
+  CHECK(none);
+  CHECK(SharedFile(path).Changed() == "b");  // and nothing of the longer text behind it
+  std::filesystem::remove_all(folder);
+}
+
+TEST_CASE("who asks the exchange waits for no lock, and only the last change that waits is made") {
+  std::string folder = (std::filesystem::temp_directory_path() / "willowrail-file-XXXXXX").string();
+  REQUIRE(::mkdtemp(folder.data()) != nullptr);
+  const std::string path = folder + "/f";
+  const int held = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  REQUIRE(::flock(held, LOCK_EX) == 0);
+  std::atomic<int> woken = 0, made = 0;
+  {
+    Exchange exchange({path, folder + "/none/f"}, std::chrono::milliseconds(1), [&] { ++woken; });
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+      exchange.Ask(0, i, [&made, i](const auto&) {
+        ++made;
+        return std::to_string(i);
+      });
+    }
+    CHECK(made == 0);
+    CHECK(exchange.Take().empty());
+    CHECK(::flock(held, LOCK_UN) == 0);
+    std::uint64_t written = 0;
+    while (written < 100) {
+      for (const Exchange::News& news : exchange.Take()) written = std::max(written, news.written);
+    }
+    CHECK(made <= 2);  // the one that the thread had begun, and the last
+    CHECK(woken >= 1);
+    exchange.Ask(1, 1, [](const auto&) { return "x"; });  // its folder is not there
+    int error = 0;
+    while (error == 0) {
+      for (const Exchange::News& news : exchange.Take()) error = news.error;
+    }
+    CHECK(error == ENOENT);
+    exchange.Ask(0, 101, [](const auto&) { return "last"; });
+  }  // what was asked for is made before it ends
+  CHECK(SharedFile(path).Changed() == "last");
+  ::close(held);
   std::filesystem::remove_all(folder);
 }
 
@@ -105,11 +176,26 @@
   Rotation one(number), two(number);
   one.TakeOut("s-1");
   one.TakeOut("s-2");
-  CHECK(two.Read(one.Write(), 5) == std::vector<Rotation::NodeId>{1, 2});
-  CHECK(two.Read("s-2\ns-3", 6) == std::vector<Rotation::NodeId>{1});
+  CHECK(two.Read(one.Writer()(std::nullopt), 0, 5) == std::vector<Rotation::NodeId>{1, 2});
+  CHECK(two.Read("s-2\ns-3", 0, 6) == std::vector<Rotation::NodeId>{1});
   CHECK(two.size() == 1);
   CHECK_FALSE(two.IsOut("s-3"));
 }
 
+TEST_CASE("a call that is not written down yet holds over an older text, and goes into the next") {
+  const auto number = [](std::string_view id) { return static_cast<Rotation::NodeId>(id.back() - '0'); };
+  Rotation one(number);
+  one.TakeOut("s-1");
+  CHECK(one.Read("s-2\n", 0, 5) == std::vector<Rotation::NodeId>{2});  // written before the call was
+  CHECK(one.IsOut("s-1"));
+  one.BringBack("s-2", 6);
+  CHECK(one.Read("s-2\ns-3\n", 0, 7) == std::vector<Rotation::NodeId>{3});
+  CHECK(one.Writer()("s-2\ns-3\ns-4\n") == "s-1\ns-3\ns-4\n");  // another's calls are kept
+  CHECK(one.Writer()(std::nullopt) == "s-1\ns-3\n");            // the text is lost: all that is known
+  CHECK(one.Read("s-1\ns-3\n", one.calls(), 8).empty());
+  CHECK(one.Read("s-3\n", one.calls(), 9) == std::vector<Rotation::NodeId>{1});  // back by another's call
+  CHECK(one.Writer()("") == "");
+}
+
 }  // namespace
 }  // namespace willowrail
--- a/tests/operations_story_test.cpp
+++ b/tests/operations_story_test.cpp
@@ -1,4 +1,8 @@
 // Stories of daily operation: the real program, drained, upgraded and told what to leave out by operators.
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
 #include "story_operated.h"
 
 namespace willowrail::story {
@@ -156,10 +160,13 @@
 
   // The next process knows of it too, and of what the old one is told later.
   Program& fresh = Start();
-  CHECK(FiguresOf(fresh.admin_port())["out_of_rotation"] == 1);
+  const auto until_out = [&fresh](int agents) {
+    const Patience patience;
+    while (FiguresOf(fresh.admin_port())["out_of_rotation"] != agents) patience.Check();
+  };
+  until_out(1);
   CHECK(Post(port, "/v1/agents/s-00000002/suspend").yes());
-  const Patience patience;
-  while (FiguresOf(fresh.admin_port())["out_of_rotation"] != 2) patience.Check();
+  until_out(2);
   CHECK(Post(fresh.admin_port(), "/v1/agents/s-00000001/resume").yes());
   program.Signal(SIGTERM);
   CHECK(program.ExitStatus() == 0);
@@ -170,6 +177,28 @@
   CHECK(FiguresOf(fresh.admin_port())["out_of_rotation"] == 1);
 }
 
+TEST_CASE_FIXTURE(Operated, "a disk that does not answer keeps nobody waiting, and learns of the ban later") {
+  Program& program = Start();
+  const std::string file = tmp / "willowrail.n0.rotation";
+  const int held = ::open(file.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  REQUIRE(held >= 0);
+  REQUIRE(::flock(held, LOCK_EX) == 0);
+  CHECK(Post(program.admin_port(), "/v1/agents/s-00000001/suspend").yes());
+  Wire owner = Owner();
+  Ask(&owner, kTask, "safe");
+  Wire there = second.Accept();
+  there.Hear(Type::kSetUp, kTask);
+  there.Answer(kTask, "there");
+  owner.Hear(Type::kAnswer, kTask);
+  there.Say(Type::kRelease, kTask, Cause::kEnded);
+  owner.Hear(Type::kRelease, kTask);
+  CHECK(std::filesystem::file_size(file) == 0);
+  CHECK(::flock(held, LOCK_UN) == 0);
+  const Patience patience;
+  while (std::filesystem::file_size(file) == 0) patience.Check();
+  ::close(held);
+}
+
 TEST_CASE_FIXTURE(Operated, "an agent is out also where that cannot be written down") {
   const std::filesystem::path kept = tmp;
   tmp /= "none";
