Keep near-ties alike in the program, and weigh a set-up alike for all task sizes

To blame: Ranking::Pick poured the binds of others (20 a second, 4 s unseen: 80) onto scores that hold the set-up, so that nodes without the program came under the level and were drawn, in sum, more often than the one with it; and Ranking::Score took the set-up in tasks of the task's own size, 7 in C of 35 for a small one, though a late start and a fuller node both hurt a task by its size.

Change: near-ties are as ready for the program as the least score; a set-up weighs 60 mean tasks.

Not measured: more than 64 nodes, where own parts decide.

--- a/src/decide/ranking.h
+++ b/src/decide/ranking.h
@@ -10,9 +10,9 @@
 namespace passbridge::decide {
 
 struct Ranking : Filters {
+  bool Program(const Node& n) const { return n.turn == turn && n.program; }  // kept for the service at hand
   Candidate Score(const Node& n, const Task& task) const {
-    const bool program = n.turn == turn && n.program;
-    const double bind = task.cores * (program ? 1 : kSetupTasks);
+    const double bind = Program(n) ? task.cores : kSetupTasks * settings.mean_cores;
     return {n.entry.node, (n.asked.cores + bind) / settings.mean_cores, Weight(n)};
   }
   double Weight(const Node& n) const {
@@ -101,9 +101,10 @@
     const double ticks = held.contains(r.task.id) ? kViewAge / kHeldTick : 1;
     return Draw() * waiting * ticks < room;
   }
-  // Near-ties are the nodes that the binds of others, not yet in the view, can be expected to level: poured
-  // onto the least scores they raise them to one level. Each is taken by a draw weighted by what it takes up
-  // to there: a hash of service and node, alike at all, so that a service's program is set up on few nodes.
+  // Near-ties are the nodes that binds of others, not yet in the view, can be expected to level: poured onto
+  // the least scores they raise them to one level. All are alike in the program: load levels, a set-up does
+  // not. Each is taken by a draw weighted by what it takes up to there: a hash of service and node, alike at
+  // all, so that a service's program is set up on few nodes.
   NodeId Pick(std::uint64_t service) {
     std::sort(scores.begin(), scores.end(), [](const Candidate& a, const Candidate& b) {
       return std::tuple(a.c * b.w, a.node) < std::tuple(b.c * a.w, b.node);
@@ -117,11 +118,12 @@
     }
     level = std::max(level, scores[0].c / scores[0].w * (1 + kNearTie));
     NodeId best = scores[0].node;
+    const bool program = Program(*table.Find(best));
     double least = kNoLimit;
     for (const Candidate& s : scores) {
       const double drawn =
           -std::log(willowrail::HashDraw(service, s.node)) / std::max(1e-9, level * s.w - s.c);
-      if (s.c > level * s.w || drawn >= least) continue;
+      if (s.c > level * s.w || drawn >= least || Program(*table.Find(s.node)) != program) continue;
       least = drawn;
       best = s.node;
     }
@@ -135,7 +137,7 @@
     if (Home(r, room)) return;
     const Room use = BookedUse(r.task);
     const RatioIndex::Rooms need{r.task.cores, r.task.memory, use.cores, use.memory};
-    const double bind = r.task.cores * kSetupTasks;
+    const double bind = kSetupTasks * settings.mean_cores;
     const double others = Others(), waiting = Rivals();
     double c = others, w = -kSteep * others;
     std::size_t looked = 0;
--- a/src/decide/tuned.h
+++ b/src/decide/tuned.h
@@ -13,9 +13,9 @@
 constexpr double kUnseen = 4, kSteep = 0.35;
 constexpr double kRateOver = 5 * kSecond, kRateAtFirst = 2;
 constexpr double kMostLevel = 1e6;
-// C of a bind where the program is not on the node, in tasks of its own size. A node keeps one for a while.
-constexpr double kSetupTasks = 30;
-constexpr Time kProgramKept = 8 * kSecond;
+// C of a bind where the program is not on the node, in mean tasks: a late start hurts by size, as load does.
+constexpr double kSetupTasks = 60;
+constexpr Time kProgramKept = 8 * kSecond;  // on a node, after the last task of its service
 constexpr Time kRefusalHolds = 1500 * kMs;  // so long a refusal for want of room outweighs the list
 // Shares of cores busy and memory in use that a bind may bring a node to. Where no node is that comfortable,
 // past its class's calm by kFadeTaken of its fade, and memory to the brink: served poorly beats not served.
