Look after what stands of a class that new settings have dropped, handed over or not

Need: a class dropped while its tasks stand was unknown to hand-overs: set-ups with at were answered with an error and the ends of these tasks never told, in the same process and after an upgrade (front/receive.cpp, roles/serving.cpp passed them over).

Change: what stands already takes its class as it stood before, else the first in force (ClassTable::ForStanding): nothing of it is placed again, only its room and its end count. Rejected: a class of its own for the unknown, which figures and module would show.

Tests: a story with a task held, one of a dropped class and one of a class never known: all three ends are told; before, two were answered with cause 47.

--- a/src/classes/class_table.cpp
+++ b/src/classes/class_table.cpp
@@ -20,6 +20,16 @@
   return it == names_.end() ? -1 : it->second;
 }
 
+int ClassTable::ForStanding(std::string_view name) const {
+  if (const int now = Position(name); now >= 0) return now;
+  int first = -1;
+  for (std::size_t i = places_.size(); i-- > 0;) {
+    if (settings_.classes[i].name == name) return static_cast<int>(i);
+    if (places_[i].in_force) first = static_cast<int>(i);
+  }
+  return first;
+}
+
 const std::string& ClassTable::NameOf(int position) const {
   return settings_.classes.at(static_cast<std::size_t>(position)).name;
 }
--- a/src/front/receive.cpp
+++ b/src/front/receive.cpp
@@ -111,15 +111,18 @@
 bool Front::ReadSetUp(const Message& m, SetUp* s) const {
   s->id = m.task;
   const passbridge::Settings& settings = classes_.settings();
-  s->task.class_index = classes_.Position(m.Get(Code::kClass));
   s->task.tenant = Position(settings.tenants, m.Get(Code::kTenant));
-  if (s->id == 0 || s->task.class_index < 0) return false;
+  if (s->id == 0 || m.Get(Code::kClass).empty()) return false;
   if (settings.tenants.empty()) s->task.tenant = 0;
   if (s->task.tenant < 0 || m.Get(Code::kDescription).empty()) return false;
   if (!ReadHex(m.Get(Code::kName), &s->task.name) || !ReadFigures(m.Get(Code::kFigures), s)) return false;
+  // Guards against ends that nobody tells: new settings may have dropped the class of what stands.
+  const std::string_view its_name = m.Get(Code::kClass);
+  s->task.class_index = s->at ? classes_.ForStanding(its_name) : classes_.Position(its_name);
+  if (s->task.class_index < 0) return false;
   const passbridge::ClassSettings& its_class =
       settings.classes[static_cast<std::size_t>(s->task.class_index)];
-  if (its_class.effect == passbridge::Effect::kKeyed && m.Get(Code::kKey).empty()) return false;
+  if (!s->at && its_class.effect == passbridge::Effect::kKeyed && m.Get(Code::kKey).empty()) return false;
   std::int64_t wait = 0;
   if (!s->at) {  // else no answer is owed
     if (!passbridge::wire::ReadInt(m.Get(Code::kWait), &wait)) return false;
--- a/src/roles/serving.cpp
+++ b/src/roles/serving.cpp
@@ -274,12 +274,10 @@
   const passbridge::Settings& settings = engine_.classes().settings();
   for (const PassedTask& each : handover.tasks) {
     SetUp s{each.id, 0, each.task, {}, each.node};
-    s.task.class_index = engine_.classes().Position(each.class_name);
+    s.task.class_index = engine_.classes().ForStanding(each.class_name);
     const auto tenant = std::ranges::find(settings.tenants, each.tenant, &passbridge::TenantSettings::name);
     s.task.tenant =
         tenant == settings.tenants.end() ? 0 : static_cast<int>(tenant - settings.tenants.begin());
-    // What cannot be placed here comes by `at`, from owners, as after any restart.
-    if (s.task.class_index < 0) continue;
     s.passage.bytes = Blocks().Make(each.passage.size());
     s.passage.bytes.Append(each.passage);
     s.passage.class_end = each.class_end;
--- a/tests/settings_story_test.cpp
+++ b/tests/settings_story_test.cpp
@@ -45,6 +45,30 @@
   CHECK(FiguresOf(port)["cfg_accepted"] == 1);
 }
 
+TEST_CASE_FIXTURE(Operated,
+                  "new settings: the end of a task whose class was dropped is told, handed over or not") {
+  Program& program = Start(false);
+  Wire owner = program.Owner();
+  Ask(&owner, kTask, "unsafe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kSetUp, kTask);
+  agent.Answer(kTask, "here");
+  owner.Hear(Type::kAnswer, kTask);
+  program.Configure(With(program, {Service("safe", "pure"), Service("batch", "pure")}).dump());
+  program.Signal(SIGHUP);
+  program.Logged("classes: 1 new, 0 changed, 2 dropped");
+  Ask(&owner, kTask, "unsafe", 25'000, ";at:s-00000001");   // held here already
+  Ask(&owner, kOther, "unsafe", 25'000, ";at:s-00000001");  // of the class as it stood
+  Ask(&owner, 7, "never", 25'000, ";at:s-00000001");        // of one that was never known here
+  Ask(&owner, 8, "never");                                  // nobody places a task of it
+  CHECK(owner.Hear(Type::kRelease, 8).cause == 47);
+  CHECK(FiguresOf(program.admin_port())["open_requests"] == 3);
+  for (const TaskId task : {kTask, kOther, TaskId{7}}) {
+    agent.Say(Type::kRelease, task, Cause::kEnded);
+    CHECK(owner.Hear(Type::kRelease, task).cause == 16);
+  }
+}
+
 TEST_CASE_FIXTURE(Operated, "new settings: a class that is added is served, and its ends are counted") {
   Program& program = Start(false);
   program.Configure(With(program, {Service("safe", "pure"), Service("batch", "side_effect")}).dump());
