--- a/src/spending/account.h
+++ b/src/spending/account.h
@@ -30,6 +30,7 @@
   };
   void Charge(int class_index, const Use& more);  // may be negative
   const Use& use() const { return use_; }
+  const std::vector<Money>& spent_by_class() const { return spent_by_class_; }
   // What the class may still use of what is drawn; 0 where the pool is short: what comes free then goes back.
   Money Free(int class_index) const;
   bool short_of() const { return known_ && (pool_.left < 0 || pool_.owed > 0); }
@@ -75,6 +76,7 @@
   std::vector<Money> hand_;   // by band: drawn below lines_[i] and above the line before
   std::vector<Money> used_;   // by the band of the class
   Use use_;
+  std::vector<Money> spent_by_class_;
   Money drawn_ = 0;
   bool known_ = false;
   Pool pool_;
--- /dev/null
+++ b/src/spending/clock.cpp
@@ -0,0 +1,35 @@
+#include "spending/clock.h"
+
+#include <algorithm>
+
+namespace willowrail::spending {
+
+Time BookClock::Read(Time now, Step* step) {
+  *step = Step::kNone;
+  const Time before = raw_;
+  raw_ = now;
+  if (at_ == 0 || (before == 0 && now >= at_)) {  // the first word, or the first after a restart
+    leapt_at_ = 0;
+    return at_ = now;
+  }
+  if (leapt_at_ != 0) {
+    if (now < leapt_at_) {
+      leapt_at_ = 0;  // it has come back from where it leapt to: read it anew below
+    } else if (now - leapt_at_ >= kBelieve) {
+      leapt_at_ = 0;
+      *step = Step::kBelieved;
+      return at_ = std::max(at_, now);
+    } else {
+      return at_ = std::max(at_, from_ + (now - leapt_at_));
+    }
+  }
+  if (now - at_ > kLeap) {
+    leapt_at_ = now, from_ = at_;
+    *step = Step::kAhead;
+    return at_;
+  }
+  if (before != 0 && before - now > kBack) *step = Step::kBack;
+  return at_ = std::max(at_, now);
+}
+
+}  // namespace willowrail::spending
--- a/src/spending/estate.h
+++ b/src/spending/estate.h
@@ -23,13 +23,13 @@
   };
   Estate(const Plan* plan, int team, Month month, Money drawn)
       : plan_(plan), team_(team), month_(month), drawn_(drawn) {}
-  // A later word of a run replaces what was known of it.
+  // `plan` outlives it. A later word of a run replaces what was known of it.
   void Saw(std::uint64_t id, const Run& run) { runs_[id] = run; }
   // What goes back to the pool now; `all_heard`: every node has been, after the death.
   Money Settle(bool all_heard);
   Money Spent() const { return Sum(false); }
-  // It spent more than it drew: this is to be taken out of the pool.
-  Money Owes() const { return std::max<Money>(0, Spent() - drawn_); }
+  // What it spent beyond what it drew and what of it has not come back: out of the pool, if it is there.
+  Money Owes() const;
   bool Closed() const;
 
  private:
--- a/src/spending/spending.h
+++ b/src/spending/spending.h
@@ -30,8 +30,8 @@
 // - Running workers are never stopped for money; there is no word for it here.
 //
 // Bound: at no member do new workers bring spent + committed + asked over what it drew. The sum passes the
-// cap only by what workers run longer than was estimated when the last was added, by replacements that begin
-// anew, and by upgrades of no one. Money of others that is drawn and not used counts as used here: refused
+// cap only by what workers run longer than was estimated when the last was added, and by replacements that
+// begin anew. Money of others that is drawn and not used counts as used here: refused
 // too early by at most their portions, which shrink with what is left.
 //
 // Tables: workers asked, running, lost and ended (kMost in all; the oldest ended go first, then asks are
@@ -112,7 +112,7 @@
 
 class Spending final : public Purse {
  public:
-  static constexpr std::size_t kMost = 200'000, kMostEnded = 50'000, kMostWaiting = 10'000, kMostSizes = 64;
+  static constexpr std::size_t kMost = 100'000, kMostEnded = 20'000, kMostWaiting = 10'000, kMostSizes = 64;
   static constexpr Time kLongest = 62LL * 86'400 * kSecond;  // that an estimate is believed for
 
   // `remaining` outlives it; null: the file's `unknown_runs` for all.
@@ -120,8 +120,10 @@
 
   // --- Workers ---
   Verdict MayAdd(const Ask& ask, Time now);
-  void Withdrawn(Id ask, Time now);             // it came to nothing
-  void Placed(Id ask, Time started, Time now);  // the ask was permitted; else it is booked all the same
+  void Withdrawn(Id ask, Time now);  // it came to nothing
+  // Booked also where it was not asked for, or its ask has passed: it runs. Also a word that one that was
+  // lost or over runs after all.
+  void Placed(const Ask& ask, Time started, Time now);
   void Over(Id worker, Time ended, Time now);
   void Lost(Id worker, Time seen, Time now);                              // or evicted: it may be replaced
   void Changed(Id worker, Id ask, const Size& size, int kind, Time now);  // moved or upgraded; ask 0: none
@@ -176,6 +178,7 @@
     State state = State::kAsked;
     std::vector<Segment> segments;
     Time ends = 0;           // its end, or when it is expected
+    Time lost = 0;           // where it was
     Time until = 0;          // for how long the ask or the rest is kept
     Id instead = 0;          // its replacement
     std::uint64_t turn = 0;  // in which it came to wait
@@ -199,12 +202,20 @@
   void End(Worker* worker, Time ended, Time now);
   void Erase(Id id);
   bool MakeRoom();
-  Costs AskedFor(const Ask& ask, int team, Time now, Worker* of, bool* as_new, Time* ends);
-  Verdict Try(Id id, const Ask& ask, int team, Time now);
+  void Fold(Id id);  // what it cost stays in the accounts, the worker goes
+  void StopWaiting(Id id);
+  Costs AskedFor(const Ask& ask, int team, Time now, const Worker* of, bool* as_new);
+  Verdict Try(const Ask& ask, int team, Time now);
+  Verdict Wait(const Ask& ask, int team, Money cost, Month month, Time now);
+  void Tell(int team, Time now);
   Verdict Refused(int team, const Ask& ask, Reason reason, Money cost, Month month, Time now);
-  void Grant(const Ask& ask, int team, const Costs& costs, Time ends, Worker* of, Time now);
+  void Grant(const Ask& ask, int team, const Costs& costs, Worker* of, Time now);
   void PutBack(int team, Month month, Money amount);
   Worker* Find(Id id);
+  Worker* Insert(const Ask& ask, int team, State state);
+  void Start(const Ask& ask, int team, Time from, Time now);
+  Wide Rate(const Ask& ask, Time now) const;  // of a second
+  static nlohmann::json ToJson(const Worker& worker, const std::string& team, const Deployment& names);
 
   Plan plan_;
   Deployment deployment_;
@@ -215,6 +226,7 @@
   std::map<std::uint64_t, Id> waiting_;  // by turn
   std::set<std::pair<Time, Id>> ended_;  // the oldest first
   std::map<std::uint64_t, Return> returns_;
+  Seconds turn_at_ = 0;  // the next turn of a month
   std::uint64_t next_turn_ = 1, next_return_ = 1;
   std::vector<std::string> lines_;  // for the log
   Counts counts_;
--- a/src/spending/tariff.h
+++ b/src/spending/tariff.h
@@ -16,6 +16,9 @@
 
 constexpr Time kSecond = 1'000'000'000;
 constexpr Money kUnit = 1'000'000;
+// An hour of one of each; with sizes of at most kMostSize no sum over two months overflows.
+constexpr Money kMostPrice = 1'000'000 * kUnit;
+constexpr std::int64_t kMostSize = 1'000'000'000;  // of millicores, of MiB
 
 std::string MoneyText(Money money);                   // 1250.50
 std::optional<Money> MoneyNamed(const std::string&);  // no sign, at most six places and 10^12 units
