--- a/src/spending/snapshot.cpp
+++ b/src/spending/snapshot.cpp
@@ -3,13 +3,13 @@
 // Drawn money comes back with its levels, so the ledger and the member still agree; grants after the snapshot
 // have a higher epoch and are applied anew from the ledger's log. Workers come back as they stood: until an
 // end is heard they are paid for, and a late end corrects that.
-#include <xxhash.h>
 
 #include <cstdio>
 #include <limits>
 #include <stdexcept>
 
 #include "spending/spending.h"
+#include "structures/hash.h"  // XXH3 in place
 
 namespace willowrail::spending {
 namespace {
