Hold spending to its bound under lost, doubled and late words, and measure what is spent

Need: what several members add together must stop short of the cap, whoever restarts or dies. Design: a ledger, members and owners in virtual time; books are compared with a sum second by second. Found by it: a worker lost after its expected end was not paid beyond that; a cap lowered left money with levels of the old one; a member that was refused by an old word of the ledger never asked again.

--- a/src/spending/account.cpp
+++ b/src/spending/account.cpp
@@ -31,8 +31,8 @@
 // Classes of higher lines can use low money too: so what is free for a class is bounded by every line from
 // its own up, below which all that must lie there has to find room.
 Money Account::Free(int class_index) const {
-  if (short_of()) return 0;
   const std::size_t own = band_of_class_[static_cast<std::size_t>(class_index)];
+  if (short_of() || (lowered_ && pool_.out > lines_[own])) return 0;
   Money free = std::numeric_limits<Money>::max(), hand = 0, used = 0;
   for (std::size_t i = 0; i < lines_.size(); ++i) {
     hand += hand_[i], used += used_[i];
@@ -47,8 +47,10 @@
   pool_ = pool;
   known_ = true;
   asked_at = unheard_since = 0;
+  to_hear = false;
   drawn_ += amount;
-  Money low = std::max<Money>(0, cap_ - pool.left - amount);  // what was out before it
+  if (pool.out <= lines_.front() && pool.cap <= cap_) lowered_ = false;
+  Money low = std::max<Money>(0, pool.out - amount);  // what was out before it
   for (std::size_t i = BandOf(low); i < lines_.size() && amount > 0; ++i) {
     const Money here = i + 1 == lines_.size() ? amount : std::clamp<Money>(lines_[i] - low, 0, amount);
     hand_[i] += here, amount -= here, low += here;
@@ -60,11 +62,11 @@
   const Money line = lines_[band_of_class_[static_cast<std::size_t>(class_index)]];
   if (!known_) return line;
   if (pool_.owed > 0) return 0;
-  return std::max<Money>(0, line - (cap_ - pool_.left));
+  return std::max<Money>(0, std::min(line, Whole()) - pool_.out);
 }
 
 Money Account::Portion(int members) const {
-  const Money left = known_ ? lines_.front() - (cap_ - pool_.left) : lines_.front();
+  const Money left = known_ ? std::min(lines_.front(), Whole()) - pool_.out : lines_.front();
   if (left < cap_ / 1000 || pool_.owed > 0) return 0;
   return std::min(cap_ / (8 * members), left / (2 * members));
 }
@@ -87,7 +89,7 @@
 
 Money Account::Reached() const {
   const Money own = use_.all();
-  return known_ ? std::max(own, cap_ - pool_.left - Surplus()) : own;
+  return known_ ? std::max(own, pool_.out - Surplus()) : own;
 }
 
 Money Account::TeamSpent() const { return std::max(use_.spent, pool_.spent); }
@@ -98,16 +100,29 @@
   return levels;
 }
 
-void Account::Restore(const std::vector<Level>& levels, std::uint64_t epoch, bool known, Pool pool,
-                      Money old_cap) {
+void Account::Restore(const std::vector<Level>& levels, std::uint64_t epoch, bool known, bool lowered,
+                      Pool pool) {
   for (const Level& level : levels) {
     hand_[BandOf(level.line)] += level.drawn;
     drawn_ += level.drawn;
   }
   epoch_ = epoch;
   known_ = known;
-  pool.left += cap_ - old_cap;
+  lowered_ = lowered;
   pool_ = pool;
 }
 
+Money Account::Lower() {
+  const Money spare = Surplus();
+  drawn_ -= spare;
+  Money rest = drawn_;
+  for (std::size_t i = 0; i < hand_.size(); ++i) {
+    hand_[i] = std::clamp<Money>(used_[i], 0, rest);
+    rest -= hand_[i];
+  }
+  hand_.back() += rest;
+  lowered_ = true;
+  return spare;
+}
+
 }  // namespace willowrail::spending
--- a/src/spending/account.h
+++ b/src/spending/account.h
@@ -14,9 +14,10 @@
 namespace willowrail::spending {
 
 struct Pool {       // the ledger's, after a command of it
-  Money left = 0;   // below 0: the cap was lowered under what is out
+  Money out = 0;    // drawn by all and not given back
   Money owed = 0;   // wanted for what runs, by all members, and not to be had
   Money spent = 0;  // as all members said last
+  Money cap = 0;    // as the ledger knows it: members and ledger take a new file one after the other
 };
 
 class Account {
@@ -33,7 +34,8 @@
   const std::vector<Money>& spent_by_class() const { return spent_by_class_; }
   // What the class may still use of what is drawn; 0 where the pool is short: what comes free then goes back.
   Money Free(int class_index) const;
-  bool short_of() const { return known_ && (pool_.left < 0 || pool_.owed > 0); }
+  bool short_of() const { return known_ && (pool_.out > Whole() || pool_.owed > 0); }
+  Money left() const { return known_ ? Whole() - pool_.out : cap_; }
 
   // --- Between the ledger and here ---
   // False where the epoch is not newer than what is known: a doubled or reordered word does nothing.
@@ -61,15 +63,24 @@
     Money line = 0, drawn = 0;
   };
   std::vector<Level> Levels() const;
-  // `old_cap`: what the levels and the pool were drawn under. Levels are amounts, so they hold under another
-  // cap; the pool's rest moves with the cap.
-  void Restore(const std::vector<Level>& levels, std::uint64_t epoch, bool known, Pool pool, Money old_cap);
+  // Levels are amounts: they hold under higher lines too.
+  void Restore(const std::vector<Level>& levels, std::uint64_t epoch, bool known, bool lowered, Pool pool);
+  // After the charges are restored, where a line is lower than that under which money was drawn: what is
+  // spare is taken out and returned, what is used lies with its classes, and no class uses what comes free
+  // until the ledger has told that what is out lies below its line. From then on levels are right again.
+  Money Lower();
+  bool lowered() const { return lowered_; }
+  Money LineOf(int class_index) const {
+    return lines_[band_of_class_[static_cast<std::size_t>(class_index)]];
+  }
 
   Time asked_at = 0;  // the draw that is under way; 0: none
   Time unheard_since = 0;
+  bool to_hear = false;  // an ask was refused by what was known: the ledger is asked how it stands
 
  private:
   std::size_t BandOf(Money level) const;
+  Money Whole() const { return pool_.cap < cap_ ? pool_.cap : cap_; }
   Money cap_;
   std::vector<std::size_t> band_of_class_;
   std::vector<Money> lines_;  // ascending, the cap last
@@ -78,7 +89,7 @@
   Use use_;
   std::vector<Money> spent_by_class_;
   Money drawn_ = 0;
-  bool known_ = false;
+  bool known_ = false, lowered_ = false;
   Pool pool_;
   std::uint64_t epoch_ = 0;
 };
--- a/src/spending/asks.cpp
+++ b/src/spending/asks.cpp
@@ -134,7 +134,7 @@
 Verdict Spending::Refused(int index, const Ask& ask, Reason reason, Money cost, Month month, Time now) {
   const Team& team = plan_.teams[static_cast<std::size_t>(index)];
   const std::string& name = deployment_.classes[static_cast<std::size_t>(ask.class_index)];
-  const Account& account = Of(index, month);
+  Account& account = Of(index, month);
   const auto of = [&](Money part, Money whole) {
     return MoneyText(part) + " of " + MoneyText(whole) + " in " + MonthName(month);
   };
@@ -180,6 +180,7 @@
   }
   if (reason == Reason::kNoMoreWorkers)
     teams_[static_cast<std::size_t>(index)].refused[static_cast<std::size_t>(ask.class_index)] = true;
+  if (reason == Reason::kNoMoreWorkers || reason == Reason::kNextMonth) account.to_hear = true;
   StopWaiting(ask.id);
   const Worker* known = Find(ask.id);
   if (known != nullptr && known->state == State::kWaiting) Fold(ask.id);
@@ -225,7 +226,7 @@
       }
       draw.amount = std::min(draw.amount, reach) + draw.owed;
       // What the pool does not have is asked for again at its pace, so that the ledger knows what is owed.
-      if (draw.amount <= 0) continue;
+      if (draw.amount <= 0 && !account.to_hear) continue;
       account.asked_at = now;
       if (account.unheard_since == 0) account.unheard_since = now;
       draws.push_back(draw);
--- a/src/spending/books.cpp
+++ b/src/spending/books.cpp
@@ -71,6 +71,8 @@
   worker->ends = std::clamp(ended, std::min(worker->segments.front().from, now), now);
   while (worker->segments.size() > 1 && worker->segments.back().from >= worker->ends)
     worker->segments.pop_back();
+  worker->ask.size = worker->segments.back().size;  // what it was at its end
+  worker->ask.kind = worker->segments.back().kind;
   worker->state = State::kOver;
   Book(worker, Cost(*worker, now));
   ended_.insert({worker->ends, worker->ask.id});
@@ -103,6 +105,7 @@
     if (seen > now + kAhead) ++counts_.odd_ends;
     worker->state = State::kLost;
     worker->lost = std::clamp(seen, std::min(worker->segments.front().from, now), now);
+    worker->ends = std::max(worker->ends, worker->lost);  // it may have outrun what was expected of it
     worker->until = now + plan_.lost_kept;
     Book(worker, Cost(*worker, now));
   }
--- a/src/spending/look.cpp
+++ b/src/spending/look.cpp
@@ -120,11 +120,12 @@
                          ", asked " + MoneyText(use.asked) + ", drawn " + MoneyText(account.drawn());
       line += !account.known()
                   ? "; no word of the ledger yet"
-                  : "; ledger: left " + MoneyText(account.pool().left) + ", owed " +
+                  : "; ledger: left " + MoneyText(account.left()) + ", owed " +
                         MoneyText(account.pool().owed) + ", spent " + MoneyText(account.TeamSpent()) +
                         ", epoch " + std::to_string(account.epoch());
       if (account.Deficit() > 0) line += "; not covered " + MoneyText(account.Deficit());
       if (account.short_of()) line += "; short";
+      if (account.lowered()) line += "; lowered";
       text.push_back(std::move(line));
     }
     std::string steps;
--- a/src/spending/snapshot.cpp
+++ b/src/spending/snapshot.cpp
@@ -87,20 +87,25 @@
   for (std::size_t i = 0; i < teams_.size(); ++i) {
     json accounts = json::array();
     for (const auto& [month, account] : teams_[i].accounts) {
-      json levels = json::array(), settled = json::array();
+      json levels = json::array(), settled = json::array(), lines = json::object();
+      for (std::size_t k = 0; k < deployment_.classes.size(); ++k)
+        lines[deployment_.classes[k]] = account.LineOf(static_cast<int>(k));
       for (const Account::Level& level : account.Levels()) levels.push_back({level.line, level.drawn});
       // What workers brought that have left the books, by class.
       std::vector<Money> spent = account.spent_by_class();
       const auto open = on_books.find({static_cast<int>(i), month});
       for (std::size_t k = 0; open != on_books.end() && k < spent.size(); ++k) spent[k] -= open->second[k];
       for (std::size_t k = 0; k < spent.size(); ++k) settled.push_back({deployment_.classes[k], spent[k]});
-      accounts.push_back({{"month", MonthName(month)},
-                          {"cap", account.cap()},
-                          {"levels", std::move(levels)},
-                          {"settled", std::move(settled)},
-                          {"epoch", account.epoch()},
-                          {"known", account.known()},
-                          {"pool", {account.pool().left, account.pool().owed, account.pool().spent}}});
+      accounts.push_back(
+          {{"month", MonthName(month)},
+           {"cap", account.cap()},
+           {"lines", std::move(lines)},
+           {"levels", std::move(levels)},
+           {"settled", std::move(settled)},
+           {"epoch", account.epoch()},
+           {"known", account.known()},
+           {"lowered", account.lowered()},
+           {"pool", {account.pool().out, account.pool().owed, account.pool().spent, account.pool().cap}}});
     }
     body["teams"].push_back({{"name", plan_.teams[i].name}, {"accounts", std::move(accounts)}});
   }
@@ -162,14 +167,20 @@
           levels.push_back({level[0].get<Money>(), level[1].get<Money>()});
         const json& pool = account["pool"];
         to.Restore(levels, account["epoch"].get<std::uint64_t>(), account["known"].get<bool>(),
-                   {pool[0].get<Money>(), pool[1].get<Money>(), pool[2].get<Money>()},
-                   account["cap"].get<Money>());
+                   account["lowered"].get<bool>(),
+                   {pool[0].get<Money>(), pool[1].get<Money>(), pool[2].get<Money>(), pool[3].get<Money>()});
         for (const json& settled : account["settled"]) {
           // Of a class that is no more: the first pays, so that the team's sum is whole.
           const int class_index = std::max(0, IndexOf(deployment_.classes, settled[0].get<std::string>()));
           to.Charge(class_index, {settled[1].get<Money>(), 0, 0});
         }
-        if (to.cap() < account["cap"].get<Money>()) lowered.push_back({team, month});
+        bool lower = to.cap() < account["cap"].get<Money>();
+        for (std::size_t k = 0; k < deployment_.classes.size(); ++k) {
+          const auto line = account["lines"].find(deployment_.classes[k]);
+          lower =
+              lower || line == account["lines"].end() || to.LineOf(static_cast<int>(k)) < line->get<Money>();
+        }
+        if (lower) lowered.push_back({team, month});
       }
     }
     for (const json& each : body["workers"]) {
@@ -212,9 +223,7 @@
       returns_[number] = {team, MonthNamed(each["month"].get<std::string>()).value(),
                           each["amount"].get<Money>(), number};
     }
-    // What is spare was drawn under a greater cap: it is drawn anew, at the levels of the smaller one.
-    for (const auto& [team, month] : lowered)
-      PutBack(team, month, Of(team, month).TakeBack(Of(team, month).Surplus()));
+    for (const auto& [team, month] : lowered) PutBack(team, month, Of(team, month).Lower());
   } catch (const json::exception& error) {
     wrong(std::string("has a shape that is not its version's: ") + error.what());
   } catch (const std::bad_optional_access&) {
--- a/tests/spending_world.h
+++ b/tests/spending_world.h
@@ -1,6 +1,7 @@
 // A ledger, members and tasks for the tests of teams' caps.
 #pragma once
 
+#include <cmath>
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -42,7 +43,9 @@
 struct Told final : Remaining {
   std::map<Id, double> runs;
   double factor = 1, usual = 3600;
-  double RemainingSeconds(const Ask& worker, double ran, double) const override {
+  double blind = 0;  // above 0: only the mean is known, of a distribution that remembers nothing
+  double RemainingSeconds(const Ask& worker, double ran, double quantile) const override {
+    if (blind > 0) return -blind * std::log(1 - quantile);
     const auto it = runs.find(worker.id);
     return std::max(0.0, (it == runs.end() ? usual : it->second) - ran) * factor;
   }
@@ -81,7 +84,7 @@
     account.out += amount;
     account.owed[member] = std::max<Money>(0, draw.owed - amount);
     account.spent[member] = draw.spent;
-    Pool pool{account.cap - account.out, 0, 0};
+    Pool pool{account.out, 0, 0, account.cap};
     for (const auto& [each, owed] : account.owed) pool.owed += owed;
     for (const auto& [each, spent] : account.spent) pool.spent += spent;
     return {draw.team, draw.month, amount, ++account.epoch, pool};
