Estimates: curves from censored counts, leaning on coarser keys, shared as cells

Need: run times by tenant, service, class and size, from tasks that ended and from those that stand or were cut. Design: counts by logarithmic bucket, Kaplan-Meier with the coarser curve as prior; a cell a member, incarnation and key, the higher version stays. Rejected: one shared sum that deltas are added to, since a doubled or late one does harm there.

--- a/src/estimates/estimates.h
+++ b/src/estimates/estimates.h
@@ -35,6 +35,7 @@
 // says it is from; the caller compares.
 #pragma once
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -135,24 +136,25 @@
   struct Own {
     BucketCounts counts;
     std::int64_t epoch = 0;
-    std::uint64_t version = 0;
+    std::uint64_t version = 0, used = 0;
     std::uint32_t stand = 0;
-    Time used = 0;
-    Time made = -1;  // the curve
+    Time made = -1;  // the curve; -1: not yet
     std::uint64_t made_of = 0;
     Curve curve;
   };
+  enum Track { kRun, kWord, kTracks };  // run time, and run time over the word
   struct Standing {
     Task task;
     Time since = 0;
-    int bucket = 0;
-    std::uint8_t counted = 0;  // levels at which it stands
     std::uint32_t turn = 0;
+    std::array<int, kTracks> bucket{};
+    std::array<std::array<bool, Key::kLevels>, kTracks> counted{};
   };
   struct Step {  // a standing task comes into its next bucket
     Time at;
     passbridge::RequestId id;
     std::uint32_t turn;
+    Track track;
     auto operator<=>(const Step&) const = default;
   };
   struct Cell {
@@ -167,22 +169,22 @@
   };
 
   std::int64_t EpochOf(Time now) const { return now / terms_.half_life; }
-  // Null where the table is full of keys that stand.
-  Own* Touch(const Key& key, Time now);
+  Own* Touch(const Key& key, Time now);  // null where the table is full of keys that stand
   void Changed(const Key& key, Own* own);
-  void Forget();
+  bool Forget();
   void Count(const Task& task, Time ran, End how, Time now);
   void Advance(Time now);
-  void Move(Standing* standing, int to, bool last, Time now);
-  const Curve& CurveOf(const Task& task, Key::Level level, bool word, Time now);
+  void Enter(passbridge::RequestId id, Standing* standing, Track track, int bucket, Time now);
+  void Leave(Standing* standing, Track track, Time now);
+  const Curve& CurveOf(const Task& task, int level, bool word, bool exact, Time now);
   Tally Sum(const Key& key, Time now);
-  struct Both {  // the curve, and the word's part
-    const Curve* run;
-    const Curve* word;
-    double share;
-    double scale;
+  struct Mixed {  // the curve of run times and, with this share, the one of the word
+    const Curve* run = nullptr;
+    const Curve* word = nullptr;
+    double share = 0, scale = 1;
+    double After(double span) const;
   };
-  Both Read(const Task& task, Time now);
+  Mixed Read(const Task& task, Time now);
 
   Terms terms_;
   std::uint32_t member_;
@@ -194,8 +196,9 @@
   std::priority_queue<Step, std::vector<Step>, std::greater<>> steps_;
   std::map<std::uint32_t, std::map<std::uint64_t, Incarnation>> others_;
   std::uint32_t turn_ = 0;
+  std::uint64_t uses_ = 0;
   Bounds bounds_;
-  Curve prior_run_, prior_word_, unkept_;
+  std::array<Curve, kTracks> prior_, unkept_;
 };
 
 }  // namespace willowrail::estimates
--- a/src/estimates/survival.h
+++ b/src/estimates/survival.h
@@ -14,7 +14,6 @@
 namespace willowrail::estimates {
 
 using Time = std::int64_t;  // nanoseconds
-using Counts = LogBuckets;
 
 // after[i]: the share that lives past the upper end of bucket i. Falls to 0 at the last one.
 struct Curve {
@@ -25,9 +24,6 @@
   double LongerThan(double span) const;
   // The first bucket by whose end the share `q` is over.
   int BucketOf(double q) const;
-  // The span by which `q` of those are over that have lived for `age`; linear within the bucket, so off by
-  // at most gamma - 1 of the span. Not below `age`.
-  double SpanAt(double q, double age) const;
 };
 
 // Weights in observations.
--- a/src/structures/log_buckets.h
+++ b/src/structures/log_buckets.h
@@ -8,6 +8,8 @@
 #pragma once
 
 #include <array>
+#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -39,7 +41,7 @@
   struct Entry {
     std::uint32_t bucket = 0;
     std::array<std::uint32_t, kKinds> weight{};
-    bool operator==(const Entry&) const = default;
+    auto operator<=>(const Entry&) const = default;
   };
 
   // False where the weight met its bound.
