Backfill: reservations by expected room, gaps filled at a risk by class

Need: a large task that finds no room gets a node at the time when room is expected; small ones fill the gap. Design: a reservation is a right of level 1 on the node, checked at use; k tasks that must be over are each asked at q^(1/k). Rejected: EASY's single reservation (no bound for the second large task) and one for every task.

--- a/src/backfill/backfill.h
+++ b/src/backfill/backfill.h
@@ -11,7 +11,7 @@
 // waits: no one is put off, and every gap is cut into pieces by estimates that are wrong; its plan is made
 // anew at each end. Taken: one reservation a large task for the `most` longest waiting (in order of age,
 // so that a task's turn comes after finitely many others), none for small tasks: there are many nodes, and
-// only `most_share` of them are ever held. EASY's second rule is kept: what fits beside the large task at
+// only a share of them is ever held. EASY's second rule is kept: what fits beside the large task at
 // its time may go there however long it runs.
 //
 // A reservation: the node on which room is expected first, and the time: when by the estimates of the tasks
@@ -40,6 +40,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "backfill/rights.h"
@@ -53,18 +54,23 @@
   double usual_quantile = 0.9;    // of classes not named
   double room_quantile = 0.6;     // that the room is there at the time, of a first reservation
   double large_share = 0.4;       // of the largest node's cores or memory, from which on a task is large
+  int members = 1;                // of the installation, that may all reserve
+  double most_share = 0.1;        // of the nodes, by all members together; each may have one at least
   int most = 8;                   // reservations of this member
-  double most_share = 0.1;        // of the nodes, at least one; own and told together
   int most_waiting = 1024;        // large tasks
   int nodes_a_look = 64;          // looked at for one task at a time
   int most_slips = 8;             // of one reservation
   Time longest = 1800 * kSecond;  // a reservation, with its slips
-  Time rest = 10 * kSecond;       // of a node after a broken one
-  Time patience = 300 * kMs;      // a large task waits for so long before it gets a reservation
-  Time least_gap = 500 * kMs;     // nothing more is put into a shorter one
-  Time skew = 200 * kMs;          // of clocks
-  Time renew = 2 * kSecond;       // before a right ends it is asked for again
-  Time want_again = 1 * kSecond;  // without an answer
+  Time least_slip = 1 * kSecond;
+  Time rest = 10 * kSecond;          // of a node after a broken promise, or a right that did not come
+  Time patience = 300 * kMs;         // a large task waits for so long before it gets a reservation
+  Time least_gap = 500 * kMs;        // nothing more is put into a shorter one
+  Time skew = 200 * kMs;             // of clocks
+  Time renew = 2 * kSecond;          // before a right ends it is asked for again
+  Time want_again = 1 * kSecond;     // without an answer
+  Time give_up = 5 * kSecond;        // on a right that does not come
+  Time told_for = 10 * kSecond;      // what members say of reservations is good for so long
+  Time epochs_for = 3600 * kSecond;  // a node's highest epoch is kept after the last word; no right is longer
   double stretch_step = 0.1, most_stretch = 8;
 };
 
@@ -78,15 +84,18 @@
 const char* Name(Why why);
 
 struct Counters {
-  std::uint64_t reserved = 0, slipped = 0, moved = 0, fills = 0, overstays = 0, held_off = 0,
-                refused_full = 0;
+  std::uint64_t reserved = 0, slipped = 0, earlier = 0, fills = 0, overstays = 0, held_off = 0,
+                refused_full = 0, told_refused = 0;
   std::uint64_t dropped[static_cast<int>(Why::kKinds)] = {};
 };
 
 struct Reservation {
   NodeId node = 0;
   Task task;
-  Time begun = 0, at = 0;
+  Time begun = 0;
+  Time at = 0;        // when its room is expected
+  Time promised = 0;  // as it was expected at first
+  Time wanted_at = 0;
   double spare_cores = 0, spare_memory = 0;  // beside the task at its time
   std::uint64_t epoch = 0;
   Time ends = 0;  // of the right; 0: an own node's, without end
@@ -94,12 +103,12 @@
   int slips = 0;
 };
 
-// What another member says of its reservation.
+// What another member says of its reservation. Of two words of one reservation the one said later counts.
 struct Told {
   std::uint32_t member = 0;
   NodeId node = 0;
   std::uint64_t epoch = 0;
-  Time at = 0, until = 0;  // until: 0: it is over
+  Time said = 0, at = 0, until = 0;  // until: good for so long; not after `said`: it is over
   double spare_cores = 0, spare_memory = 0;
 };
 
@@ -155,13 +164,12 @@
     double used_cores = 0, used_memory = 0;
     std::set<passbridge::RequestId> tasks;
     Time rests_until = 0;
-    std::uint64_t seen_epoch = 0;  // the highest of any grant or loss: older words are passed over
   };
   struct Waiting {
     Task task;
     Time since = 0;
     int broken = 0;
-    std::uint32_t turn = 0;  // where its next look begins
+    NodeId turn = 0;  // where its next look begins
   };
   struct Plan {
     Time at = 0;
@@ -169,13 +177,18 @@
   };
   double QuantileOf(int class_index) const;
   bool MayReserve(NodeId node, const Place& place, const Task& task, Time now) const;
+  bool Fits(const Place& place, const Task& task) const;
+  // None where the task can never stand there.
   std::optional<Plan> Expect(const Place& place, const Task& task, double quantile, Time now);
-  void Begin(Waiting* waiting, Time now);
-  void Slip(Reservation* reservation, Time now, std::vector<std::string>* log);
+  bool Begin(Waiting* waiting, Time now);
+  // Room has come sooner, or a filler has taken of what is spare.
+  void Refresh(Reservation* reservation, Time now);
+  void Slip(Reservation* reservation, Time now);
   void Drop(NodeId node, Why why, Time now);
   bool Usable(const Reservation& r, Time now) const;
-  void Settle(Standing* standing, bool late);
-  std::size_t Room() const;  // for reservations
+  bool MayGo(const Task& task, Time at, double spare_cores, double spare_memory, Time now);
+  void Learn(int class_index, bool late);
+  std::size_t Share() const;  // reservations that one member may have
   double RoomQuantile(const Waiting& waiting) const;
 
   Terms terms_;
@@ -188,8 +201,13 @@
   std::vector<passbridge::RequestId> by_age_;
   std::map<NodeId, Reservation> own_;
   std::map<passbridge::RequestId, NodeId> node_of_;
-  std::map<NodeId, Told> told_;
+  std::map<std::pair<NodeId, std::uint32_t>, Told> told_;  // by node and member
   std::set<int> lost_sites_;
+  struct Seen {  // the highest epoch of any word on a right: what is older is passed over
+    std::uint64_t epoch = 0;
+    Time at = 0;
+  };
+  std::map<NodeId, Seen> seen_;
   std::vector<double> stretch_;
   double largest_cores_ = 0, largest_memory_ = 0;
   Counters counters_;
--- /dev/null
+++ b/src/backfill/from_estimates.h
@@ -0,0 +1,22 @@
+// Lives as src/estimates knows them.
+#pragma once
+
+#include <algorithm>
+
+#include "backfill/rights.h"
+#include "estimates/estimates.h"
+
+namespace willowrail::backfill {
+
+class EstimatedLives final : public Lives {
+ public:
+  explicit EstimatedLives(estimates::Estimates* of) : of_(of) {}  // outlives it
+  Time Remaining(const Task& task, Time ran_for, double quantile, Time now) override {
+    return static_cast<Time>(std::min(of_->RemainingSeconds(task, ran_for, quantile, now), 4e9) * 1e9);
+  }
+
+ private:
+  estimates::Estimates* of_;
+};
+
+}  // namespace willowrail::backfill
--- a/src/backfill/rights.h
+++ b/src/backfill/rights.h
@@ -15,8 +15,10 @@
 // The answers come as Backfill::Granted and Backfill::Lost, or not at all.
 class Rights {
  public:
-  // It is this member's floor: nobody else may ever reserve there, and nobody is asked.
-  virtual bool IsOwn(NodeId node) const = 0;
+  // kOwn: this member's floor, nobody else may ever reserve there and nobody is asked. kAsked: of the pool.
+  // kNever: another's floor, or of a pool that cannot be asked now.
+  enum class Part { kOwn, kAsked, kNever };
+  virtual Part Of(NodeId node) const = 0;
   // Asked again while it is held: to hold it for longer.
   virtual void Want(NodeId node, Time from, Time until) = 0;
   // Said only after its use has ended.
@@ -31,7 +33,7 @@
 class OwnOnly final : public Rights {
  public:
   OwnOnly(std::uint32_t member, std::uint32_t members) : member_(member), members_(members) {}
-  bool IsOwn(NodeId node) const override;
+  Part Of(NodeId node) const override;
   void Want(NodeId, Time, Time) override {}
   void GiveBack(NodeId, std::uint64_t) override {}
 
