--- a/src/backfill/reserve.cpp
+++ b/src/backfill/reserve.cpp
@@ -216,6 +216,7 @@
       if (soon && now - r.wanted_at >= terms_.want_again) {
         r.wanted_at = now;
         rights_->Want(node, now, r.at);
+        if (!own_.contains(node)) continue;  // the answer came within it, and was no
       }
       if (now >= r.at && !Fits(nodes_.at(node), r.task)) {
         Slip(&r, now);
--- a/src/estimates/estimates.cpp
+++ b/src/estimates/estimates.cpp
@@ -20,6 +20,12 @@
   return static_cast<Time>(std::min(static_cast<double>(ran) / Word(task) * kRatioOne, 9e18));
 }
 
+// Standing tasks move on by steps of several buckets: half again as old each, and none before 1 s (or a
+// hundredth of the word). Their count is behind their age, which loses a little and claims nothing.
+constexpr int kFirst = 48, kStep = 4;
+static_assert(kFirst % kStep == 0);
+int Shown(int bucket) { return bucket < kFirst ? 0 : bucket - bucket % kStep; }
+
 }  // namespace
 
 Key KeyOf(const Task& task, Key::Level level, bool word) {
@@ -100,7 +106,7 @@
 }
 
 void Estimates::Enter(passbridge::RequestId id, Standing* standing, Track track, int bucket, Time now) {
-  standing->bucket[track] = bucket;
+  bucket = standing->bucket[track] = Shown(bucket);
   for (int level = 0; level < Key::kLevels; ++level) {
     const Key key = KeyOf(standing->task, static_cast<Key::Level>(level), track == kWord);
     Own* own = Touch(key, now);
@@ -110,8 +116,9 @@
     if (!own->counts.Add(bucket, BucketCounts::kStanding)) ++bounds_.weights_cut;
     Changed(key, own);
   }
-  if (bucket + 1 >= LogBuckets::kBuckets) return;  // it stays in the last one
-  auto age = static_cast<double>(LogBuckets::Upper(bucket));
+  const int next = std::max(bucket + kStep, kFirst);
+  if (next >= LogBuckets::kBuckets) return;  // it stays in the last one
+  auto age = static_cast<double>(LogBuckets::Upper(next - 1));
   if (track == kWord) age *= Word(standing->task) / kRatioOne;
   const Time at = standing->since + static_cast<Time>(std::min(age, 4e18)) + 1;
   steps_.push({std::max(at, now + 1), id, standing->turn, track});
--- a/src/estimates/estimates.h
+++ b/src/estimates/estimates.h
@@ -12,7 +12,8 @@
 // wide answers. Size is the logarithm to base two of cores, rounded.
 //
 // Censored: a task that was cut, evicted, moved or lost has run for at least so long, and no more is known.
-// A task that still stands is the same, until it ends: its count moves from bucket to bucket as it ages.
+// A task that still stands is the same, until it ends: its count moves on as it ages, by every fourth bucket
+// from 1 s on, and is never ahead of its age.
 //
 // The owner's own word (a task's `lasts`) is a source of its own: sketches by the same keys hold run time
 // over word, whose width is the word's error. Where a task has a word, the answer is the mixture of both
