--- a/src/backfill/backfill.cpp
+++ b/src/backfill/backfill.cpp
@@ -70,13 +70,13 @@
   if (it != own_.end() && !rules_->MayStand(node, it->second.task, now)) Drop(node, Why::kRules, now);
 }
 
-void Backfill::Stands(const Task& task, NodeId node, Time since, Time now) {
+void Backfill::Stands(const Task& task, NodeId node, Time since, Time now, bool own_task) {
   const auto place = nodes_.find(node);
   if (place == nodes_.end()) return;
   Over(task.id, now);
   Standing standing{.task = task, .node = node, .since = since};
   const auto into = [&](Time at, Time begun, double spare_cores, double spare_memory) {
-    if (since < begun || (task.cores <= spare_cores && task.memory <= spare_memory)) return;
+    if (!own_task || since < begun || (task.cores <= spare_cores && task.memory <= spare_memory)) return;
     standing.due = standing.due == 0 ? at : std::min(standing.due, at);
   };
   const auto own = own_.find(node);
@@ -180,7 +180,7 @@
   for (const auto& [node, r] : own_) {
     if (!Usable(r, now)) continue;
     const Time until = r.ends == 0 ? now + terms_.told_for : std::min(r.ends, now + terms_.told_for);
-    all.push_back({member, node, r.epoch, now, r.at, until, r.spare_cores, r.spare_memory});
+    all.push_back({member, node, r.epoch, now, r.at, until, r.spare_cores, r.spare_memory, r.task.id});
   }
   return all;
 }
--- a/src/backfill/backfill.h
+++ b/src/backfill/backfill.h
@@ -22,7 +22,7 @@
 // A small task may go there if its own class's quantile, times the class's stretch, is over before the time.
 // The stretch is learned: a filler that stays too long raises its logarithm by step * quantile, one that is
 // over in time lowers it by step * (1 - quantile); so in the long run as many overstay as the class's risk
-// says.
+// says. It fades with time, for a class that fits into no gap any more would never be learned about again.
 //
 // A wrong estimate: when the time has come without room, the reservation slips to the new expectation (the
 // tasks that stand are older now, and their remaining time is conditional on it), and the node takes fillers
@@ -55,8 +55,8 @@
   double room_quantile = 0.6;     // that the room is there at the time, of a first reservation
   double large_share = 0.4;       // of the largest node's cores or memory, from which on a task is large
   int members = 1;                // of the installation, that may all reserve
-  double most_share = 0.1;        // of the nodes, by all members together; each may have one at least
-  int most = 8;                   // reservations of this member
+  double most_share = 0.2;        // of the nodes, by all members together; each may have one at least
+  int most = 32;                  // reservations of this member
   int most_waiting = 1024;        // large tasks
   int nodes_a_look = 64;          // looked at for one task at a time
   int most_slips = 8;             // of one reservation
@@ -72,6 +72,7 @@
   Time told_for = 10 * kSecond;      // what members say of reservations is good for so long
   Time epochs_for = 3600 * kSecond;  // a node's highest epoch is kept after the last word; no right is longer
   double stretch_step = 0.1, most_stretch = 8;
+  Time stretch_half = 3600 * kSecond;  // its logarithm fades by half, so that a class is tried again
 };
 
 struct Node {
@@ -110,6 +111,7 @@
   std::uint64_t epoch = 0;
   Time said = 0, at = 0, until = 0;  // until: good for so long; not after `said`: it is over
   double spare_cores = 0, spare_memory = 0;
+  passbridge::RequestId task = 0;  // whose it is
 };
 
 class Backfill {
@@ -121,7 +123,9 @@
   void Listed(NodeId node, const Node& as, Time now);
   void Unlisted(NodeId node, Time now);
   void SiteLost(int zone, bool lost, Time now);
-  void Stands(const Task& task, NodeId node, Time since, Time now);  // own tasks and all others known of
+  // Own tasks and all others known of; only own ones teach how far their class is to be trusted in gaps, for
+  // what others were told when they let theirs in is not known here.
+  void Stands(const Task& task, NodeId node, Time since, Time now, bool own = true);
   void Over(passbridge::RequestId id, Time now);
   // Spread, or another rule of the module, has changed for the node.
   void Changed(NodeId node, Time now);
@@ -208,7 +212,8 @@
     Time at = 0;
   };
   std::map<NodeId, Seen> seen_;
-  std::vector<double> stretch_;
+  std::vector<double> stretch_;  // by class, logarithms
+  Time faded_at_ = 0;
   double largest_cores_ = 0, largest_memory_ = 0;
   Counters counters_;
   std::vector<std::string> log_;
--- a/src/backfill/reserve.cpp
+++ b/src/backfill/reserve.cpp
@@ -199,6 +199,12 @@
 }
 
 std::vector<std::string> Backfill::Look(Time now) {
+  if (faded_at_ > 0) {
+    const double left =
+        std::exp2(-static_cast<double>(now - faded_at_) / static_cast<double>(terms_.stretch_half));
+    for (double& each : stretch_) each *= left;
+  }
+  faded_at_ = now;
   std::vector<NodeId> mine;
   for (const auto& [node, r] : own_) mine.push_back(node);
   for (const NodeId node : mine) {
--- a/src/estimates/estimates.cpp
+++ b/src/estimates/estimates.cpp
@@ -60,7 +60,7 @@
   if (const std::int64_t epoch = EpochOf(now); epoch > own.epoch) {
     own.counts.Halve(static_cast<int>(std::min<std::int64_t>(epoch - own.epoch, 31)));
     own.epoch = epoch;
-    Changed(key, &own);
+    own.version = ++version_;
   }
   return &own;
 }
@@ -76,19 +76,12 @@
   std::ranges::partial_sort(idle, end, {}, &std::pair<std::uint64_t, const Key*>::first);
   for (auto it = idle.begin(); it != end; ++it) {
     const auto own = own_.find(*it->second);
-    own_by_version_.erase(own->second.version);
     own_.erase(own);
     ++bounds_.keys_forgotten;
   }
   return true;
 }
 
-void Estimates::Changed(const Key& key, Own* own) {
-  own_by_version_.erase(own->version);
-  own->version = ++version_;
-  own_by_version_.emplace(own->version, key);
-}
-
 void Estimates::Started(const Task& task, Time since, Time now) {
   Advance(now);
   if (standing_.contains(task.id)) return;
@@ -99,23 +92,29 @@
   Standing standing{.task = task, .since = std::min(since, now), .turn = ++turn_};
   for (const Track track : {kRun, kWord}) {
     if (track == kWord && task.lasts <= 0) continue;
-    Enter(task.id, &standing, track, LogBuckets::Of(OnTrack(task, track == kWord, now - standing.since)),
-          now);
+    const int bucket = Shown(LogBuckets::Of(OnTrack(task, track == kWord, now - standing.since)));
+    for (int level = 0; level < Key::kLevels; ++level) {
+      Own* own = Touch(KeyOf(task, static_cast<Key::Level>(level), track == kWord), now);
+      standing.counted[track][static_cast<std::size_t>(level)] = own;
+      if (own == nullptr) continue;
+      ++own->stand;
+      if (!own->counts.Add(bucket, BucketCounts::kStanding)) ++bounds_.weights_cut;
+    }
+    standing.bucket[track] = bucket;
+    Show(task.id, &standing, track, bucket, now);
   }
   standing_[task.id] = standing;
 }
 
-void Estimates::Enter(passbridge::RequestId id, Standing* standing, Track track, int bucket, Time now) {
-  bucket = standing->bucket[track] = Shown(bucket);
-  for (int level = 0; level < Key::kLevels; ++level) {
-    const Key key = KeyOf(standing->task, static_cast<Key::Level>(level), track == kWord);
-    Own* own = Touch(key, now);
-    standing->counted[track][static_cast<std::size_t>(level)] = own != nullptr;
+void Estimates::Show(passbridge::RequestId id, Standing* standing, Track track, int bucket, Time now) {
+  for (Own* own : standing->counted[track]) {
     if (own == nullptr) continue;
-    ++own->stand;
+    own->version = ++version_;
+    if (bucket == standing->bucket[track]) continue;
+    own->counts.Remove(standing->bucket[track], BucketCounts::kStanding);
     if (!own->counts.Add(bucket, BucketCounts::kStanding)) ++bounds_.weights_cut;
-    Changed(key, own);
   }
+  standing->bucket[track] = bucket;
   const int next = std::max(bucket + kStep, kFirst);
   if (next >= LogBuckets::kBuckets) return;  // it stays in the last one
   auto age = static_cast<double>(LogBuckets::Upper(next - 1));
@@ -124,17 +123,6 @@
   steps_.push({std::max(at, now + 1), id, standing->turn, track});
 }
 
-void Estimates::Leave(Standing* standing, Track track, Time now) {
-  for (int level = 0; level < Key::kLevels; ++level) {
-    if (!standing->counted[track][static_cast<std::size_t>(level)]) continue;
-    const Key key = KeyOf(standing->task, static_cast<Key::Level>(level), track == kWord);
-    Own* own = Touch(key, now);  // it is there: a key under which something stands is not forgotten
-    --own->stand;
-    own->counts.Remove(standing->bucket[track], BucketCounts::kStanding);
-    Changed(key, own);
-  }
-}
-
 void Estimates::Advance(Time now) {
   while (!steps_.empty() && steps_.top().at <= now) {
     const Step step = steps_.top();
@@ -143,8 +131,7 @@
     if (it == standing_.end() || it->second.turn != step.turn) continue;  // it is over
     Standing& standing = it.value();
     const int bucket = LogBuckets::Of(OnTrack(standing.task, step.track == kWord, now - standing.since));
-    Leave(&standing, step.track, now);
-    Enter(step.id, &standing, step.track, std::max(bucket, standing.bucket[step.track]), now);
+    Show(step.id, &standing, step.track, std::max(Shown(bucket), standing.bucket[step.track]), now);
   }
 }
 
@@ -152,9 +139,16 @@
   Advance(now);
   const auto it = standing_.find(id);
   if (it == standing_.end()) return;
-  Standing standing = it->second;
+  const Standing standing = it->second;
   standing_.erase(it);
-  for (const Track track : {kRun, kWord}) Leave(&standing, track, now);
+  for (const Track track : {kRun, kWord}) {
+    for (Own* own : standing.counted[track]) {
+      if (own == nullptr) continue;
+      --own->stand;
+      own->counts.Remove(standing.bucket[track], BucketCounts::kStanding);
+      own->version = ++version_;
+    }
+  }
   Count(standing.task, now - standing.since, how, now);
 }
 
@@ -171,11 +165,10 @@
     if (word && task.lasts <= 0) continue;
     const int bucket = LogBuckets::Of(OnTrack(task, word, ran));
     for (int level = 0; level < Key::kLevels; ++level) {
-      const Key key = KeyOf(task, static_cast<Key::Level>(level), word);
-      Own* own = Touch(key, now);
+      Own* own = Touch(KeyOf(task, static_cast<Key::Level>(level), word), now);
       if (own == nullptr) continue;
       if (!own->counts.Add(bucket, kind)) ++bounds_.weights_cut;
-      Changed(key, own);
+      own->version = ++version_;
     }
   }
 }
--- a/src/estimates/estimates.h
+++ b/src/estimates/estimates.h
@@ -53,14 +53,14 @@
 using passbridge::Task;
 
 struct Terms {
-  Time half_life = Time{6} * 3600 * 1'000'000'000;  // observations weigh half after it; an epoch's length
+  Time half_life = Time{2} * 3600 * 1'000'000'000;  // observations weigh half after it; an epoch's length
   double lean = 4;                                  // observations that the next coarser curve counts as
   double alone = 8;                                 // observations one other member may have by itself
   std::size_t most_keys = 4096;                     // of this member, all levels together
   std::size_t most_standing = 65536;                // tasks followed
   std::size_t most_members = 128;                   // heard of
   std::size_t most_cells = 4096;                    // of each incarnation of another member
-  Time stale = 1'000'000'000;                       // a curve is used for so long while coarser keys change
+  Time stale = 5'000'000'000;                       // a curve is used for so long while coarser keys change
 };
 
 enum class End { kDone, kCut };  // kCut: evicted, moved, lost, taken down: it would have run longer
@@ -99,6 +99,8 @@
 class Estimates {
  public:
   Estimates(Terms terms, std::uint32_t member, std::uint64_t incarnation);
+  Estimates(Estimates&&) = default;  // it points into itself: no copies
+  Estimates& operator=(Estimates&&) = default;
 
   // --- What is seen ---
   // It stands since `since`, which may be long ago (a task that was found). Again for the same id: the first
@@ -149,7 +151,9 @@
     Time since = 0;
     std::uint32_t turn = 0;
     std::array<int, kTracks> bucket{};
-    std::array<std::array<bool, Key::kLevels>, kTracks> counted{};
+    // Where it is counted; null where there was no room. A key under which something stands stays where it
+    // is.
+    std::array<std::array<Own*, Key::kLevels>, kTracks> counted{};
   };
   struct Step {  // a standing task comes into its next bucket
     Time at;
@@ -171,12 +175,10 @@
 
   std::int64_t EpochOf(Time now) const { return now / terms_.half_life; }
   Own* Touch(const Key& key, Time now);  // null where the table is full of keys that stand
-  void Changed(const Key& key, Own* own);
   bool Forget();
   void Count(const Task& task, Time ran, End how, Time now);
   void Advance(Time now);
-  void Enter(passbridge::RequestId id, Standing* standing, Track track, int bucket, Time now);
-  void Leave(Standing* standing, Track track, Time now);
+  void Show(passbridge::RequestId id, Standing* standing, Track track, int bucket, Time now);
   const Curve& CurveOf(const Task& task, int level, bool word, bool exact, Time now);
   Tally Sum(const Key& key, Time now);
   struct Mixed {  // the curve of run times and, with this share, the one of the word
@@ -192,7 +194,6 @@
   std::uint64_t incarnation_;
   std::uint64_t version_ = 0;
   std::map<Key, Own> own_;
-  std::map<std::uint64_t, Key> own_by_version_;
   NumberMap<passbridge::RequestId, Standing> standing_;
   std::priority_queue<Step, std::vector<Step>, std::greater<>> steps_;
   std::map<std::uint32_t, std::map<std::uint64_t, Incarnation>> others_;
--- a/src/estimates/share.cpp
+++ b/src/estimates/share.cpp
@@ -8,13 +8,19 @@
 Said Estimates::Delta(std::uint64_t after, std::size_t most, Time now) {
   Advance(now);
   Said said{.member = member_, .incarnation = incarnation_, .after = after, .up_to = after, .cells = {}};
-  auto it = own_by_version_.upper_bound(after);
-  for (; it != own_by_version_.end() && said.cells.size() < most; ++it) {
-    const Own& own = own_.find(it->second)->second;
-    said.cells.push_back({it->second, own.version, own.epoch, own.counts.entries()});
+  std::vector<std::pair<std::uint64_t, const std::pair<const Key, Own>*>> changed;
+  for (const auto& each : own_) {
+    if (each.second.version > after) changed.emplace_back(each.second.version, &each);
+  }
+  const std::size_t told = std::min(most, changed.size());
+  std::ranges::partial_sort(changed, changed.begin() + static_cast<std::ptrdiff_t>(told), {},
+                            &decltype(changed)::value_type::first);
+  for (std::size_t i = 0; i < told; ++i) {
+    const auto& [key, own] = *changed[i].second;
+    said.cells.push_back({key, own.version, own.epoch, own.counts.entries()});
     said.up_to = own.version;
   }
-  if (it == own_by_version_.end()) said.up_to = std::max(after, version_);
+  if (told == changed.size()) said.up_to = std::max(after, version_);
   return said;
 }
 
