Let the books go back with a clock that was wrong, and return no grant twice

A clock that stepped back without bound was waited for without bound: a clock that had been a year ahead and was mended stopped the books for a year. A doubled grant for a month out of the books was given back twice, so that the pool held money that others had drawn.

A step back by more than an hour is believed when the clock has stood there for a minute, as one ahead is. Then what runs is taken as begun by now, rests and asks are kept no longer than from now, an ask's money moves to the month that is now, and ends that were booked stay paid in their months. A grant for a month out of the books stays drawn and is counted.

--- a/src/spending/asks.cpp
+++ b/src/spending/asks.cpp
@@ -240,7 +240,7 @@
   if (team < 0 || static_cast<std::size_t>(team) >= teams_.size() || amount < 0) return;
   const Window& window = teams_[static_cast<std::size_t>(team)].window;
   if (month < window.first || month > window.first + 3) {
-    PutBack(team, month, amount);  // a month that is not in the books
+    ++counts_.too_late;  // a month that is not in the books: what nobody can use stays drawn
     return;
   }
   if (!Of(team, month).Drawn(amount, epoch, pool)) return;
--- a/src/spending/clock.cpp
+++ b/src/spending/clock.cpp
@@ -24,11 +24,20 @@
     }
   }
   if (now - at_ > kLeap) {
-    leapt_at_ = now, from_ = at_;
+    leapt_at_ = now, from_ = at_, back_at_ = 0;
     *step = Step::kAhead;
     return at_;
   }
   if (before != 0 && before - now > kBack) *step = Step::kBack;
+  if (at_ - now <= kLeap) {
+    back_at_ = 0;
+  } else if (back_at_ == 0 || now < back_at_) {
+    back_at_ = now;
+  } else if (now - back_at_ >= kBelieve) {
+    back_at_ = 0;
+    *step = Step::kBelievedBack;
+    return at_ = now;
+  }
   return at_ = std::max(at_, now);
 }
 
--- a/src/spending/snapshot.cpp
+++ b/src/spending/snapshot.cpp
@@ -70,14 +70,23 @@
 }
 
 json Spending::Snapshot() const {
-  json body = {{"kind", kKind},      {"version", kVersion},     {"member", deployment_.member},
-               {"at", clock_.now()}, {"next_turn", next_turn_}, {"next_return", next_return_}};
+  json body = Body(clock_.now());
+  const std::string check = CheckOf(body);
+  body["check"] = check;
+  return body;
+}
+
+json Spending::Body(Time at) const {
+  json body = {{"kind", kKind}, {"version", kVersion},     {"member", deployment_.member},
+               {"at", at},      {"next_turn", next_turn_}, {"next_return", next_return_}};
   std::map<std::pair<int, Month>, std::vector<Money>>
       on_books;  // spent by workers that are on them, by class
   for (const auto& [id, worker] : workers_) {
+    const auto team = static_cast<std::size_t>(worker.team);
     for (std::size_t m = 0; m < worker.costs.size(); ++m) {
-      if (worker.costs[m].spent == 0) continue;
-      const Month month = teams_[static_cast<std::size_t>(worker.team)].window.first + static_cast<Month>(m);
+      const Month month = teams_[team].window.first + static_cast<Month>(m);
+      // Months after the window of `at` are not booked anew: what is spent there stays.
+      if (worker.costs[m].spent == 0 || month > plan_.teams[team].zone.MonthOf(at / kSecond) + 1) continue;
       std::vector<Money>& sums = on_books[{worker.team, month}];
       sums.resize(deployment_.classes.size());
       sums[static_cast<std::size_t>(worker.ask.class_index)] += worker.costs[m].spent;
@@ -120,8 +129,6 @@
                                {"month", MonthName(each.month)},
                                {"amount", each.amount}});
   }
-  const std::string check = CheckOf(body);
-  body["check"] = check;
   return body;
 }
 
@@ -231,9 +238,14 @@
   }
 }
 
-void Spending::Take(Plan plan) {
+void Spending::Take(Plan plan) { Reopen(std::move(plan), clock_.now()); }
+
+void Spending::Reopen(Plan plan, Time at) {
   Spending next(std::move(plan), deployment_, remaining_);
-  next.Restore(Snapshot());
+  json body = Body(at);
+  const std::string check = CheckOf(body);
+  body["check"] = check;
+  next.Restore(body);
   next.clock_ = clock_;
   next.counts_ = counts_;
   next.lines_ = std::move(lines_);
--- a/src/spending/spending.cpp
+++ b/src/spending/spending.cpp
@@ -32,6 +32,9 @@
                      std::to_string(BookClock::kBelieve / kSecond) + " s");
   } else if (step == BookClock::Step::kBelieved) {
     lines_.push_back("spending: the clock's leap by " + apart() + " is believed");
+  } else if (step == BookClock::Step::kBelievedBack) {
+    lines_.push_back("spending: the clock's step by " + apart() + " is believed, the books go back");
+    GoBack(at);
   }
   const Seconds second = at / kSecond;
   if (second >= turn_at_) {
@@ -44,6 +47,35 @@
   return at;
 }
 
+// What runs was begun by now, whatever the clock said, and what is kept is kept no longer than it would be
+// from now. Ends that were booked stay paid in their months.
+void Spending::GoBack(Time at) {
+  std::vector<Id> over;
+  for (auto& [id, worker] : workers_) {
+    if (worker.state == State::kOver) {
+      if (worker.ends > at) over.push_back(id);
+      continue;
+    }
+    for (Segment& segment : worker.segments) segment.from = std::min(segment.from, at);
+    if (worker.lost > at) worker.ends -= worker.lost - at, worker.lost = at;
+    const bool lost = worker.state == State::kLost || worker.state == State::kReplaced;
+    worker.until = std::min(worker.until, at + (lost ? plan_.lost_kept : plan_.ask_kept));
+    if (worker.state != State::kAsked) continue;
+    const auto team = static_cast<std::size_t>(worker.team);
+    const int by = plan_.teams[team].zone.MonthOf(at / kSecond) - 2 - teams_[team].window.first;
+    if (by == 0) continue;
+    Money asked = 0;  // it will run from now on, not in the month that it was permitted in
+    for (const Account::Use& use : worker.costs) asked += use.asked;
+    worker.costs = {};
+    worker.costs[2].asked = asked;
+  }
+  for (const Id id : over) Fold(id);
+  Reopen(plan_, at);
+  for (auto& [id, worker] : workers_) {
+    if (worker.state == State::kRuns) Refresh(&worker, at);
+  }
+}
+
 // Another month of the team: what is older than the last but one leaves the books.
 void Spending::Turn(int index, Seconds at) {
   TeamState& team = teams_[static_cast<std::size_t>(index)];
--- a/src/spending/spending.h
+++ b/src/spending/spending.h
@@ -193,6 +193,9 @@
 
   Time Tick(Time now);  // the books' time; turns months
   void Turn(int team, Seconds at);
+  void Reopen(Plan plan, Time at);  // all of it, with another file or at a time before
+  void GoBack(Time at);             // the clock was wrong: what it said after `at` is taken for now
+  nlohmann::json Body(Time at) const;
   Account& Of(int team, Month month);
   Time Expected(const Ask& ask, int team, Time ran);
   // What the worker costs in the window's months, of it what is spent by `now`.
--- a/tests/spending_ledger_test.cpp
+++ b/tests/spending_ledger_test.cpp
@@ -259,6 +259,42 @@
   }
 }
 
+TEST_CASE("a grant for a month that is out of the books, doubled, gives nothing back that others drew") {
+  Alone world;
+  REQUIRE(world.Run(Worker(1, 0)));
+  for (int i = 0; i < 2; ++i)
+    world.room.Drawn(0, *MonthNamed("2025-12"), 5 * kUnit, 7, {9 * kUnit, 0, 0, 100 * kUnit}, world.now);
+  CHECK(world.room.GiveBack().empty());
+  CHECK(world.room.counts().too_late == 2);
+}
+
+TEST_CASE("snapshots that are old, foreign, cut, another member's or changed are refused with a clear line") {
+  Alone world;
+  REQUIRE(world.Run(Worker(1, 0)));
+  const json right = world.room.Snapshot();
+  const auto said = [&](const json& snapshot, int member = 0) {
+    Deployment deployment = world.deployment;
+    deployment.member = member;
+    Spending room(world.plan, deployment, nullptr);
+    try {
+      room.Restore(snapshot);
+    } catch (const std::runtime_error& error) {
+      return std::string(error.what());
+    }
+    return std::string();
+  };
+  CHECK(said(right).empty());
+  json changed = right;
+  changed["version"] = 0;
+  CHECK(said(changed) == "spending snapshot: version is 0, this program reads 1");
+  changed = right;
+  changed["workers"].clear();
+  CHECK(said(changed) == "spending snapshot: is cut or changed: its checksum does not match");
+  CHECK(said(right, 2) == "spending snapshot: is member 0's, this is member 2");
+  CHECK(said(json::array()).find("is foreign") != std::string::npos);
+  CHECK(said({{"kind", "other"}}).find("is foreign: kind is \"other\"") != std::string::npos);
+}
+
 // The last days of a month in which more is asked for than the cap has room.
 struct Measured {
   double spent = 0, overrun = 0, too_early = 0;
