--- a/src/agreement/agreement.h
+++ b/src/agreement/agreement.h
@@ -5,20 +5,20 @@
 //
 // It owns the log since the last snapshot, the term and the vote, and, while it leads, what each member has.
 // One caller, in one thread, feeds it what arrives and carries out each Output at once: hand `records` to the
-// store (Saved(ticket) once they are durable, in the order of the tickets), send `messages` (they need none of
-// the records that are not durable: what does is kept back until Saved), apply `restored` and `committed` in
-// order, tell callers `answers`. Where a save fails the caller stops using the object: silence is always safe.
-// The log is emptied by Compact, and by a snapshot from the leader; proposals by their answers; what is known
-// of others when a lead ends.
+// store (Saved(ticket) once they are durable, in the order of the tickets), send `messages` (they need none
+// of the records that are not durable: what does is kept back until Saved), apply `restored` and `committed`
+// in order, tell callers `answers`. Where a save fails the caller stops using the object: silence is always
+// safe. The log is emptied by Compact, and by a snapshot from the leader; proposals by their answers; what is
+// known of others when a lead ends.
 //
 // Who is a member. A promise belongs to a disk (its Identity), not to a number. An empty disk draws a new
 // identity and is nobody: it neither votes nor is counted. It says Hello; the leader takes its number's old
-// identity out of the members, takes the new one in as a learner, and makes it a voter once it has the log. So a
-// member that lost its disk never votes as if it had never voted. The first start is the same: one member,
-// once, by an operator's word, is the founder (the only voter); all others are taken in. Rejected: founding by
-// itself where all seem empty, which two lost disks and a cut look like. A majority of disks lost at once is
-// the end of the ledger: a new founding, and the caller waits until all leases have ended. A disk put back
-// from an old copy cannot be told from a good one: it must be emptied first.
+// identity out of the members, takes the new one in as a learner, and makes it a voter once it has the log.
+// So a member that lost its disk never votes as if it had never voted. The first start is the same: one
+// member, once, by an operator's word, is the founder (the only voter); all others are taken in. Rejected:
+// founding by itself where all seem empty, which two lost disks and a cut look like. A majority of disks lost
+// at once is the end of the ledger: a new founding, and the caller waits until all leases have ended. A disk
+// put back from an old copy cannot be told from a good one: it must be emptied first.
 //
 // One voter changes at a time (the next once the last is committed, and an entry of the leader's term), so
 // each two majorities one after the other have a member in common; joint membership, which changes many at
@@ -37,13 +37,13 @@
 namespace willowrail::agreement {
 
 struct Terms {
-  Time heartbeat = 250'000'000;           // to voters; also when what was not answered is sent again
+  Time heartbeat = 250'000'000;            // to voters; also when what was not answered is sent again
   Time learner_heartbeat = 2'000'000'000;  // to learners at rest
-  Time election = 1'000'000'000;          // silence of a leader, at least; up to twice that by the draw
-  Time replace_after = 60'000'000'000;    // a silent voter loses its place to a learner, where there is one
+  Time election = 1'000'000'000;           // silence of a leader, at least; up to twice that by the draw
+  Time replace_after = 60'000'000'000;     // a silent voter loses its place to a learner, where there is one
   std::size_t most_voters = 5;
-  std::size_t compact_after = 1024;   // entries: `want_snapshot`
-  std::size_t most_log = 4096;        // entries; more are not taken until Compact
+  std::size_t compact_after = 1024;    // entries: `want_snapshot`
+  std::size_t most_log = 4096;         // entries; more are not taken until Compact
   std::size_t most_uncommitted = 256;  // of the leader
   MessageBounds bounds;
 };
@@ -86,7 +86,7 @@
 struct Counters {
   std::array<std::uint64_t, kMessageKinds> sent{};
   std::uint64_t refused_bytes = 0, foreign_cluster = 0, other_identity = 0, not_member = 0, wrong_sender = 0;
-  std::uint64_t log_full = 0, too_many = 0, too_long = 0, state_too_long = 0, members_full = 0;
+  std::uint64_t log_full = 0, too_many = 0, too_long = 0, state_too_long = 0;
   std::uint64_t elections = 0, steps_down = 0, without_majority = 0, clock_back = 0, snapshots_sent = 0;
 };
 
@@ -105,7 +105,8 @@
 
   Output Receive(std::uint32_t from, const Message& message, Time now);
   Output ReceiveBytes(std::uint32_t from, const Bytes& bytes, Time now);
-  // At `due` or later; `draw` in [0, 1) is used for the next time-out where one is set.
+  // At `due` or later, and at once where the caller's clock went back; `draw` in [0, 1) is used for the next
+  // time-out where one is set.
   Output Tick(Time now, double draw);
   Output Propose(Bytes command, Time now);
   Output Saved(std::uint64_t ticket, Time now);
@@ -126,27 +127,27 @@
   std::size_t proposals() const { return proposals_.size(); }
 
  private:
+  static constexpr Time kNever = -1;
   struct Peer {  // as the leader knows it
     Index match = 0, next = 1;
     std::uint64_t round = 0;  // of the append that is out; 0: none
-    Time sent = 0, heard = 0;
+    Time sent = 0, heard = 0, snapshot_sent = kNever;
+    Index told = 0;  // the commit it was sent last
   };
   struct Kept {
     std::uint64_t ticket;
     Message message;
   };
-  static constexpr Time kNever = -1;
-
   void Advance(Time now);
   void Begin(Output* out, Time now) { Advance(now), out_ = out; }
   void End();  // of each call: gives the records their ticket
   Message Make(MessageKind kind, const Member& to) const;
-  void Send(Message message);      // at once
+  void Send(Message message);       // at once
   void SendSaved(Message message);  // once all records so far are durable
   void SaveState() { out_->records.state = state_; }
   void Append(std::vector<Entry> entries, Index first);
 
-  // agreement.cpp: terms and votes
+  // votes.cpp
   void SetRole(Role role);
   void Follow(Term term, std::optional<std::uint32_t> leader);
   void Campaign(double draw);
@@ -155,6 +156,7 @@
   void Won();
   bool MayVote(const Message& message) const;
   bool HearsLeader() const;
+  Time Timeout() const;
   void OnAsk(const Message& message, bool first);
   void OnAnswer(const Message& message);
   void SayHello();
@@ -171,12 +173,13 @@
   void OnMismatch(const Message& message);
   void OnHello(const Message& message);
   void SendTo(const Member& member, Peer* peer);
-  void Lead();  // heartbeats, again what was lost, CheckQuorum
+  void Lead();   // heartbeats, again what was lost, CheckQuorum
   void Offer();  // to all who have nothing out and lack something
   void CommitByMajority();
   void Upkeep();  // of the members, one change at a time
   std::optional<std::vector<Member>> NextMembers() const;
   void ChangeMembers(std::vector<Member> members);
+  Time Interval(const Member& member, const Peer& peer) const;  // between what is sent to it at rest
   bool Silent(const Member& member, Time longer) const;
 
   bool Configured(std::uint32_t number) const;
@@ -196,8 +199,8 @@
   Time clock_ = 0, last_now_ = 0;
   Role role_ = Role::kFollower;
   std::optional<std::uint32_t> leader_;
-  Time heard_ = kNever;    // of a leader
-  Time asked_at_ = 0;      // since then the time-out runs
+  Time heard_ = kNever;  // of a leader
+  Time asked_at_ = 0;    // since then the time-out runs
   double draw_ = 0.5;
   bool started_ = false;
   std::vector<Identity> yes_;  // voters that said yes to what is asked now
@@ -206,12 +209,14 @@
 
   Index commit_ = 0, applied_ = 0;
   std::uint64_t last_ticket_ = 0, saved_ticket_ = 0;
-  Index saved_index_ = 0;  // entries up to there are durable here
+  std::uint64_t vote_ticket_ = 0;          // of its own vote, as a candidate
+  Index saved_index_ = 0;                  // entries up to there are durable here
   std::map<std::uint64_t, Index> saving_;  // ticket -> last index with it
   std::vector<Kept> kept_;                 // messages that wait for a save
 
-  std::map<Identity, Peer> peers_;            // of the leader
-  std::map<std::uint32_t, Identity> wishes_;  // number -> identity that said Hello, of configured numbers alone
+  std::map<Identity, Peer> peers_;  // of the leader
+  std::map<std::uint32_t, Identity>
+      wishes_;  // number -> identity that said Hello, of configured numbers alone
   std::map<Index, std::uint64_t> proposals_;
   Index term_start_ = 0;  // the leader's entry of nothing
   std::uint64_t last_round_ = 0, last_proposal_ = 0;
--- a/src/agreement/message.h
+++ b/src/agreement/message.h
@@ -54,9 +54,9 @@
 
 struct Message {
   MessageKind kind = MessageKind::kHello;
-  std::uint64_t cluster = 0;               // drawn at the founding; 0: not yet of any
+  std::uint64_t cluster = 0;                    // drawn at the founding; 0: not yet of any
   Identity from_identity = 0, to_identity = 0;  // to: 0 where the sender cannot know it
-  std::uint32_t from = 0, to = 0;          // numbers
+  std::uint32_t from = 0, to = 0;               // numbers
   Term term = 0;
   Index index = 0;
   Term log_term = 0;
@@ -69,8 +69,11 @@
 };
 
 struct MessageBounds {
-  std::size_t entries = 64, entry_bytes = 16 << 10, batch_bytes = 256 << 10, members = 128, state_bytes = 1 << 20;
-  std::size_t message_bytes() const { return batch_bytes + entry_bytes + state_bytes + 16 * entries + 20 * members + 256; }
+  std::size_t entries = 64, entry_bytes = 16 << 10, batch_bytes = 256 << 10, members = 128,
+              state_bytes = 1 << 20;
+  std::size_t message_bytes() const {
+    return batch_bytes + entry_bytes + state_bytes + 16 * entries + 20 * members + 256;
+  }
 };
 
 Bytes Encode(const Message& message);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -1,11 +1,11 @@
-// What must outlive the process: records of the agreement (term and vote, entries, a snapshot) and a few named
-// values, in one SQLite file. It owns the file and its lock; one thread uses it (see store_thread.h). Nothing
-// here knows what the bytes mean.
+// What must outlive the process: records of the agreement (term and vote, entries, a snapshot) and a few
+// named values, in one SQLite file. It owns the file and its lock; one thread uses it (see store_thread.h).
+// Nothing here knows what the bytes mean.
 //
-// A Batch is written whole or not at all, and durable when Append returns without a fault. After any fault the
-// store takes no more: what the disk has is not known then (a sync that failed may have lost pages that later
-// reads still show). Opened again it copies all of the write-ahead log into the file anew and syncs it before
-// the first answer, so that no value is given out that is only in the system's cache.
+// A Batch is written whole or not at all, and durable when Append returns without a fault. After any fault
+// the store takes no more: what the disk has is not known then (a sync that failed may have lost pages that
+// later reads still show). Opened again it copies all of the write-ahead log into the file anew and syncs it
+// before the first answer, so that no value is given out that is only in the system's cache.
 //
 // Each row carries a checksum of its own (SQLite has none for its pages), entries must follow on the snapshot
 // without a gap, and the file carries our number and version: whatever else is found is refused with one line
--- a/src/store/store_thread.h
+++ b/src/store/store_thread.h
@@ -7,11 +7,12 @@
 //   std::optional<Work> Pop()         worker; waits; nothing when stopped (and drained, if so asked)
 //   void Stop(bool drain)             loop; Pop gives what is left (drain) or nothing more
 //   void PushResult(Done)             worker; never waits: what is queued, at work and not yet taken together
-//                                     is bounded at TryPush; wake runs when it was empty, never under the lock
+//                                     is bounded at TryPush; wake runs when it was empty, never under the
+//                                     lock
 //   std::optional<Done> TakeResult()  loop; without waiting
 //
-// Full: TryAppend says false, and the caller must not go on as if it were saved: the agreement stays silent by
-// itself, as it waits for Saved. After a fault each further batch is answered with the same fault.
+// Full: TryAppend says false, and the caller must not go on as if it were saved: the agreement stays silent
+// by itself, as it waits for Saved. After a fault each further batch is answered with the same fault.
 #pragma once
 
 #include <functional>
@@ -40,9 +41,7 @@
  public:
   // `wake` is called in the thread: it may only tell the loop to look (an async watcher, a descriptor).
   StoreThread(std::unique_ptr<Store> store, std::size_t most_waiting, std::function<void()> wake)
-      : store_(std::move(store)),
-        queue_(most_waiting, std::move(wake)),
-        thread_([this] { Run(); }) {}
+      : store_(std::move(store)), queue_(most_waiting, std::move(wake)), thread_([this] { Run(); }) {}
   // What is queued is still written: it holds words that the agreement has counted on.
   ~StoreThread() { Stop(true); }
 
