--- a/tests/agreement_test.cpp
+++ b/tests/agreement_test.cpp
@@ -12,7 +12,7 @@
 }
 
 // One drawn change of the world.
-void Trouble(World* world) {
+void Trouble(World* world, bool fierce) {
   const std::uint32_t count = static_cast<std::uint32_t>(world->nodes.size());
   const std::uint32_t a = world->Below(count), b = world->Below(count);
   switch (world->Below(9)) {
@@ -28,11 +28,12 @@
       break;
     case 4:
     case 5:
-      world->Crash(a, world->now + world->Between(10 * kMs, 600 * kMs));
+      world->Crash(a, world->now + world->Between(10 * kMs, fierce ? 150 * kMs : 600 * kMs));
       break;
     case 6:
       // A disk more than the members can spare ends the agreement, rightly; so one at a time.
-      if (world->AllVote(count)) world->Crash(a, world->now + world->Between(10 * kMs, 600 * kMs), true);
+      if (world->AllVote(count) || (fierce && world->Below(3) == 0))
+        world->Crash(a, world->now + world->Between(10 * kMs, 600 * kMs), true);
       break;
     case 7:
       world->drop = world->Below(4) * 0.1;
@@ -50,18 +51,24 @@
   for (int seed = 0; seed < seeds; ++seed) {
     CAPTURE(seed);
     const int count = seed % 2 == 0 ? 3 : 5;
+    const bool fierce = seed % 4 >= 2;  // disks lost at any time too: it may end for good, and stays true
     World world(count, static_cast<std::uint64_t>(seed));
     world.by_bytes = seed % 20 == 0;
     CHECK(world.Until(20 * kSecond, [&] { return world.AllVote(static_cast<std::size_t>(count)); }) <
           20 * kSecond);
     for (int i = 0; i < 4000; ++i) {
       world.Step();
-      if (world.Below(70) == 0) Trouble(&world);
+      if (world.Below(fierce ? 30 : 70) == 0) Trouble(&world, fierce);
       const std::uint32_t any = world.Below(static_cast<std::size_t>(count));
       if (world.Below(12) == 0 && world.nodes[any].agreement) world.Propose(any);  // most are no leader
       if (world.Below(25) == 0 && world.Leader() != nullptr) world.Propose(world.NumberOf(world.Leader()));
       if (i % 100 == 0) world.CheckLogs();
     }
+    world.CheckLogs();
+    answered += world.answers;
+    unknown += world.unknown;
+    elections += world.leaders.size();
+    if (fierce) continue;
     // Whole again: it goes on, with all of them.
     world.cut.clear();
     world.drop = world.doubled = 0;
@@ -78,9 +85,6 @@
       CHECK(node.asked.empty());
       CHECK(node.agreement->proposals() == 0);
     }
-    answered += world.answers;
-    unknown += world.unknown;
-    elections += world.leaders.size();
   }
   MESSAGE(seeds, " histories: ", answered, " proposals committed, ", unknown, " unknown, ", elections,
           " terms led");
--- a/tests/agreement_world.h
+++ b/tests/agreement_world.h
@@ -41,7 +41,7 @@
     std::uint64_t digest = 0;  // the state machine: all commands, in order
     Index applied = 0;
     std::map<std::uint64_t, Bytes> asked;  // proposals without an answer
-    int leads = 0;
+    std::vector<Member> members;           // before the call that is looked at now
   };
   struct Packet {
     Time at;
@@ -71,6 +71,7 @@
   std::map<Term, Identity> leaders;
   std::map<Index, std::pair<Term, Bytes>> committed;
   std::map<Index, std::uint64_t> digests;
+  std::map<Identity, Durable> lost;  // disks, as they were last
   std::uint64_t answers = 0, unknown = 0;
 
   World(int count, std::uint64_t seed, Terms its = FastTerms())
@@ -99,7 +100,10 @@
     Node& node = nodes[i];
     if (!node.agreement) return;
     for (std::size_t left = Below(node.unsaved.size() + 1); left > 0; --left) SaveFirst(i);
-    if (wipe) node.disk = {};
+    if (wipe) {
+      lost[node.disk.state.identity] = node.disk;
+      node.disk = {};
+    }
     node.unsaved.clear();
     node.agreement.reset();
     node.asked.clear();
@@ -143,6 +147,7 @@
       ++(answer.result == Result::kCommitted ? answers : unknown);
     }
     if (out.role && out.role->role == Role::kLeader) Leads(node);
+    node.members = node.agreement->members();
     if (!out.records.empty() && records_seen++ == crash_at) {
       if (crash_saved) {
         while (!node.unsaved.empty()) SaveFirst(i);
@@ -178,11 +183,30 @@
     REQUIRE(entry.index > node->applied);
     const auto [at, fresh] = committed.try_emplace(entry.index, entry.term, entry.command);
     REQUIRE(at->second == std::pair(entry.term, entry.command));
+    if (fresh) OnDisks(*node, entry);
     for (const std::uint8_t byte : entry.command)
       node->digest = (node->digest ^ byte) * 1099511628211u + entry.index;
     node->applied = entry.index;
     REQUIRE(digests.try_emplace(entry.index, node->digest).first->second == node->digest);
   }
+  // Whoever says first that it is committed leads, and a majority of its voters has it on their disks.
+  void OnDisks(const Node& by, const Committed& entry) {
+    const auto has = [&](const Durable& disk) {
+      if (entry.index <= disk.snapshot.index) return true;
+      const Index at = entry.index - disk.snapshot.index - 1;
+      return at < disk.entries.size() && disk.entries[at].term == entry.term;
+    };
+    std::size_t voters = 0, have = 0;
+    for (const Member& member : by.members) {
+      if (!member.voter) continue;
+      const Durable& disk = nodes[member.number].disk;
+      const auto gone = lost.find(member.identity);
+      ++voters;
+      have += has(disk.state.identity == member.identity || gone == lost.end() ? disk : gone->second) ? 1 : 0;
+    }
+    REQUIRE(by.agreement->role() == Role::kLeader);
+    REQUIRE(have > voters / 2);
+  }
   void Restore(Node* node, const Snapshot& snapshot) {
     node->digest = 0;
     for (std::size_t b = 0; b < snapshot.state.size(); ++b)
@@ -193,7 +217,6 @@
   }
   void Leads(Node& node) {
     const Agreement& agreement = *node.agreement;
-    ++node.leads;
     const Identity first = leaders.try_emplace(agreement.term(), agreement.identity()).first->second;
     REQUIRE(first == agreement.identity());
     for (const auto& [index, entry] : committed) {  // all that was committed ever is there
