Budgets: the file, division by need, the ledger, a member's part

Need: parts that never sum to more than the whole, divided anew as needs and members change. Design: whole numbers throughout; a lowered part counts in full until its epoch is acknowledged or its old end is over; a new incarnation's predecessor is an orphan that runs out; sums of amounts only grow, so doubled and late words do no harm; floors shrink, are durable and confirmed, before any grows. Rejected: floors of amounts, as what is used of one dies with a disk.

--- a/src/budgets/ledger.h
+++ b/src/budgets/ledger.h
@@ -172,7 +172,7 @@
  private:
   Verdict Refuse(std::string* why, const std::string& text);
   Verdict Report(const Command& command, std::string* why);
-  void Acknowledge(const Need& need, MemberId member, Lease* lease, Time linger);
+  void Acknowledge(const Need& need, Lease* lease);
   Verdict Return(const Command& command);
   void Amounts(const Command& command);
   Verdict SettleFor(const Command& command, std::string* why);
@@ -182,8 +182,7 @@
   void Expire();
   void Grant(const std::vector<MemberId>& barred);
   void GrantKey(const Key& key, Entry* entry, const std::vector<MemberId>& barred);
-  void Advance();  // a change of floors and wholes, where what it waits for is there
-  bool ShrinksConfirmed() const;
+  void Advance();                // a change of floors and wholes, where what it waits for is there
   Micro Whole(int rule) const;   // that may be lent from now: the lesser while a change is under way
   Micro Floors(int rule) const;  // that are kept free: what is used, and what will be
   Time Over(const Rule& rule, Time ends) const { return ends + file_.skew + rule.linger; }
@@ -195,6 +194,7 @@
   Time time_ = 0;
   std::map<MemberId, Holder> holders_;
   std::map<Key, Entry> entries_;
+  std::vector<Key> retired_;  // the latest: a late word must not open a month again
   Counters counters_;
 };
 
--- a/src/budgets/part.h
+++ b/src/budgets/part.h
@@ -99,7 +99,7 @@
   const MemberId member_;
   const std::uint64_t incarnation_;
   const Time started_;
-  std::uint64_t version_ = 0, saved_ = 0;
+  std::uint64_t version_ = 0, saved_ = 0, confirmed_ = 0;
   std::vector<Micro> floors_;  // by rule; empty: not known
   Time floor_until_ = 0;
   std::map<Key, Holding> keys_;
