--- a/src/budgets/part.cpp
+++ b/src/budgets/part.cpp
@@ -255,6 +255,7 @@
                                      : "floor of version " + std::to_string(version_);
   text += lent == 0 ? " only" : " and leases on " + std::to_string(lent) + " keys";
   if (!majority_) text += "; without a majority for " + seconds(now - minority_since_);
+  if (clock_apart_) text += "; its clock is apart, nothing that is lent is used";
   if (now - heard_at_ > file_.lease) text += "; nothing new of the ledger for " + seconds(now - heard_at_);
   return text;
 }
--- a/src/budgets/part.h
+++ b/src/budgets/part.h
@@ -50,6 +50,9 @@
   // By membership: whether this member sees a majority and is not barred. Changes what it says, not its
   // rights.
   void Majority(bool has, Time now);
+  // Its own clock is apart by more than the skew: the ends of what is lent mean nothing to it, so it uses
+  // none.
+  void ClockApart(bool apart) { clock_apart_ = apart; }
   std::string Says(Time now) const;
 
   // What the ledger should be told, where something is due: at most one a `report`.
@@ -64,7 +67,7 @@
 
   struct Counters {
     std::uint64_t taken = 0, denied = 0, old_epochs = 0, ended = 0, keys_full = 0, reports = 0,
-                  back_steps = 0, cut_short = 0;
+                  back_steps = 0;
   };
   const Counters& counters() const { return counters_; }
   std::size_t keys() const { return keys_.size(); }
@@ -87,7 +90,9 @@
   };
   Holding* Find(const Key& key, Time now);
   Time Guarded(Time now);
-  bool Valid(const Holding& holding, Time now) const { return now < holding.ends - file_.skew; }
+  bool Valid(const Holding& holding, Time now) const {
+    return !clock_apart_ && now < holding.ends - file_.skew;
+  }
   Micro FloorOf(int rule, Time now) const;
   Micro RightOf(const Key& key, const Holding* holding, Time now) const;
   void Fill(const Key& key, Holding* holding, Time now);
@@ -105,7 +110,7 @@
   std::map<Key, Holding> keys_;
   std::uint64_t forgotten_epoch_ = 0;
   Time latest_ = 0, told_at_ = 0, heard_at_ = 0;
-  bool majority_ = true, leaving_ = false;
+  bool majority_ = true, leaving_ = false, clock_apart_ = false;
   Time minority_since_ = 0;
   Counters counters_;
 };
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -17,9 +17,11 @@
 // - left: only by its own word; taken back by a higher incarnation alone.
 // - cut one way: until the next beat after `patience` from either side; the other side's relays need a gap
 // more.
-// - clock apart: told when its offset from the median clock is over `skew` by more than half the least round
-//   trip of the last eight; so up to that much beyond `skew` passes, and no clock within `skew` is told of
-//   while more than half of the clocks are within it. Without a round trip nothing is told.
+// - clock apart: told when its offset from the median of the known clocks is over `skew` by more than half
+// the
+//   least of its last eight round trips: an offset that much beyond passes, and one within `skew` of true
+//   time may be told where the median leans the other way. Cost: no leases. Of two clocks, when they are 2 *
+//   skew apart, for both. Without a round trip nothing is told.
 // - alone, hearing nobody: the others stay suspected, as from here our own loss looks the same.
 //
 // Tables: a row a configured member, with who it hears; nothing else grows. Beats a period: at most `fanout`.
