--- a/src/budgets/ledger_grant.cpp
+++ b/src/budgets/ledger_grant.cpp
@@ -50,6 +50,7 @@
   const BudgetFile& file = next_ ? *next_ : file_;
   std::vector<Claim> claims;
   std::vector<Lease*> leases;
+  std::vector<MemberId> ids;
   for (auto& [id, lease] : entry->leases) {
     const Member* member = file.Of(id);
     const Holder& holder = holders_.at(id);
@@ -64,6 +65,7 @@
                   std::ranges::find(barred, id) == barred.end();
     claims.push_back(claim);
     leases.push_back(&lease);
+    ids.push_back(id);
   }
   const Time elapsed = std::min<Time>(1'000'000'000, time_ - entry->divided);
   entry->divided = time_;
@@ -94,16 +96,18 @@
   for (std::size_t i = 0; i < targets.size(); ++i) {
     Lease& lease = *leases[i];
     if (!claims[i].lends || lease.amount + raised[i] == 0) continue;
+    // To a lease after its holder's last word, so that one that dies is not renewed by what it said before.
+    const Time ends = holders_.at(ids[i]).told + file_.lease;
     if (raised[i] > 0) {
       lease.amount += raised[i];
       ++counters_.grants;
-    } else if (lease.ends - time_ > file_.lease * 2 / 3 && lease.epoch != epoch_) {
+    } else if (ends - lease.ends < file_.lease / 10 && lease.epoch != epoch_) {
       continue;
     } else {
       ++counters_.renewals;
     }
     lease.epoch = epoch_;
-    lease.ends = std::max(lease.ends, time_ + file_.lease);
+    lease.ends = std::max(lease.ends, ends);
   }
 }
 
