Put the checked queue in the store's thread, in place of a queue of its own

The store's thread had a queue of its own, a stand-in until the shared one was there. HandoffQueue of src/structures takes its place as it is: the policy of threads is the thread's parameter now, so that the checker can run it, and a stop hands back what it dropped (tested).

--- a/src/store/store_thread.h
+++ b/src/store/store_thread.h
@@ -2,28 +2,22 @@
 // the agreement's tickets; the thread writes them in order and gives a Done for each. It owns the store and
 // the thread.
 //
-// The queue between them is a parameter of this shape (MutexQueue below it, until the shared one is there):
-//   bool TryPush(Work)                loop; false when full
-//   std::optional<Work> Pop()         worker; waits; nothing when stopped (and drained, if so asked)
-//   void Stop(bool drain)             loop; Pop gives what is left (drain) or nothing more
-//   void PushResult(Done)             worker; never waits: what is queued, at work and not yet taken together
-//                                     is bounded at TryPush; wake runs when it was empty, never under the
-//                                     lock
-//   std::optional<Done> TakeResult()  loop; without waiting
+// Between them is the queue of src/structures: each batch is answered once, in order, and a result never
+// waits for room, as the bound counts what is queued, at work and not yet taken together.
 //
 // Full: TryAppend says false, and the caller must not go on as if it were saved: the agreement stays silent
 // by itself, as it waits for Saved. After a fault each further batch is answered with the same fault.
 #pragma once
 
-#include <functional>
+#include <deque>
 #include <memory>
 #include <string>
-#include <thread>
 #include <utility>
 #include <vector>
 
-#include "store/mutex_queue.h"
 #include "store/store.h"
+#include "structures/callback.h"
+#include "structures/handoff_queue.h"
 
 namespace willowrail::store {
 
@@ -36,21 +30,22 @@
   std::string fault;  // empty: durable
 };
 
-template <typename Queue = MutexQueue<Work, Done>>
+template <class Threads = StdThreads>
 class StoreThread {
  public:
   // `wake` is called in the thread: it may only tell the loop to look (an async watcher, a descriptor).
-  StoreThread(std::unique_ptr<Store> store, std::size_t most_waiting, std::function<void()> wake)
-      : store_(std::move(store)), queue_(most_waiting, std::move(wake)), thread_([this] { Run(); }) {}
+  StoreThread(std::unique_ptr<Store> store, std::size_t most_waiting, Callback wake)
+      : store_(std::move(store)), queue_(most_waiting, wake), thread_([this] { Run(); }) {}
   // What is queued is still written: it holds words that the agreement has counted on.
-  ~StoreThread() { Stop(true); }
+  ~StoreThread() { Stop(Ending::kDrain); }
 
   bool TryAppend(Work work) { return queue_.TryPush(std::move(work)); }
   std::optional<Done> TakeDone() { return queue_.TakeResult(); }
-  // Waits for the thread. Results can still be taken.
-  void Stop(bool drain) {
-    queue_.Stop(drain);
+  // Waits for the thread. Results can still be taken; what is returned was dropped and is not written.
+  std::deque<Work> Stop(Ending ending) {
+    std::deque<Work> dropped = queue_.Stop(ending);
     if (thread_.joinable()) thread_.join();
+    return dropped;
   }
 
  private:
@@ -58,13 +53,13 @@
     std::string fault;
     while (std::optional<Work> work = queue_.Pop()) {
       if (fault.empty()) store_->Append(work->batch, &fault);
-      queue_.PushResult(Done{work->ticket, fault});
+      queue_.Give(Done{work->ticket, fault});
     }
   }
 
   std::unique_ptr<Store> store_;
-  Queue queue_;
-  std::thread thread_;
+  HandoffQueue<Threads, Work, Done> queue_;
+  typename Threads::Thread thread_;
 };
 
 }  // namespace willowrail::store
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -280,11 +280,30 @@
       }
     }
     CHECK(thread.TryAppend(work(5)));
-    thread.Stop(true);
+    thread.Stop(Ending::kDrain);
     CHECK_FALSE(thread.TryAppend(work(6)));
     CHECK(thread.TakeDone()->ticket == 5);
     CHECK_FALSE(thread.TakeDone());
   }
+  {
+    StoreThread<> thread(Store::Open(kFile, Small(), &fault, Disk::kName), 4, [] {});
+    for (std::uint64_t ticket : {1u, 2u, 3u}) {
+      Work work{ticket, {}};
+      work.batch.state = State{1, 2, 3, 4};
+      CHECK(thread.TryAppend(std::move(work)));
+    }
+    std::deque<Work> left = thread.Stop(Ending::kDrop);  // each is written or handed back
+    for (std::uint64_t ticket = 1; ticket <= 3; ++ticket) {
+      if (const std::optional<Done> done = thread.TakeDone()) {
+        CHECK(done->ticket == ticket);
+      } else {
+        REQUIRE(!left.empty());
+        CHECK(left.front().ticket == ticket);
+        left.pop_front();
+      }
+    }
+    CHECK(left.empty());
+  }
   std::unique_ptr<Store> store = Store::Open(kFile, Small(), &fault, Disk::kName);
   CHECK(store->TakeContent().named == std::vector<Named>{{"n", {5}}});
   disk.at = disk.steps;
@@ -295,7 +314,7 @@
     work.batch.state = State{1, 2, 3, 4};
     CHECK(thread.TryAppend(std::move(work)));
   }
-  thread.Stop(true);
+  thread.Stop(Ending::kDrain);
   for (int i = 0; i < 2; ++i)
     CHECK(thread.TakeDone()->fault.find("no room on the disk") != std::string::npos);
 }
