Hold a leader's changes of members to one voter and a committed one before

Two changed copies of the agreement outlived the histories: a new identity put in the old one's place in one step, and a change begun before the last is committed. The world now reads each change from the leader's log: voters differ by one at most, the change before it and an entry of the leader's own term are committed.

--- a/tests/agreement_test.cpp
+++ b/tests/agreement_test.cpp
@@ -46,7 +46,7 @@
 }
 
 TEST_CASE("agreement: over drawn histories nothing committed is lost or changed, and one leads a term") {
-  std::uint64_t answered = 0, unknown = 0, elections = 0;
+  std::uint64_t answered = 0, unknown = 0, elections = 0, changes = 0;
   const int seeds = Seeds(120);
   for (int seed = 0; seed < seeds; ++seed) {
     CAPTURE(seed);
@@ -68,6 +68,7 @@
     answered += world.answers;
     unknown += world.unknown;
     elections += world.leaders.size();
+    changes += world.changes;
     if (fierce) continue;
     // Whole again: it goes on, with all of them.
     world.cut.clear();
@@ -87,8 +88,9 @@
     }
   }
   MESSAGE(seeds, " histories: ", answered, " proposals committed, ", unknown, " unknown, ", elections,
-          " terms led");
+          " terms led, ", changes, " changes of members");
   CHECK(answered > static_cast<std::uint64_t>(seeds) * 20);
+  CHECK(changes > static_cast<std::uint64_t>(seeds) * 4);
 }
 
 TEST_CASE("agreement: a member that falls at each save, with it on its disk or not, forgets no promise") {
--- a/tests/agreement_world.h
+++ b/tests/agreement_world.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <pcg_random.hpp>
@@ -72,7 +73,7 @@
   std::map<Index, std::pair<Term, Bytes>> committed;
   std::map<Index, std::uint64_t> digests;
   std::map<Identity, Durable> lost;  // disks, as they were last
-  std::uint64_t answers = 0, unknown = 0;
+  std::uint64_t answers = 0, unknown = 0, changes = 0;
 
   World(int count, std::uint64_t seed, Terms its = FastTerms())
       : terms(its), random(seed), nodes(static_cast<std::size_t>(count)) {
@@ -147,6 +148,7 @@
       ++(answer.result == Result::kCommitted ? answers : unknown);
     }
     if (out.role && out.role->role == Role::kLeader) Leads(node);
+    if (node.agreement->role() == Role::kLeader) Changes(*node.agreement, out.records);
     node.members = node.agreement->members();
     if (!out.records.empty() && records_seen++ == crash_at) {
       if (crash_saved) {
@@ -207,6 +209,33 @@
     REQUIRE(by.agreement->role() == Role::kLeader);
     REQUIRE(have > voters / 2);
   }
+  // A leader's change of members, read from its log alone: one voter at most more or less, begun once the
+  // change before it and an entry of its own term are committed.
+  void Changes(const Agreement& agreement, const Records& records) {
+    const Log& log = agreement.log();
+    for (Index i = records.first; i < records.first + records.entries.size(); ++i) {
+      if (i <= log.base() || log.At(i).kind != EntryKind::kMembers) continue;
+      Index before = i - 1;
+      while (before > log.base() && log.At(before).kind != EntryKind::kMembers) --before;
+      if (before == 0) continue;  // the founding
+      const auto voters = [&](Index at) {
+        std::set<Identity> its;
+        for (const Member& member :
+             at == log.base() ? log.snapshot().members : *DecodeMembers(log.At(at).bytes, 128)) {
+          if (member.voter) its.insert(member.identity);
+        }
+        return its;
+      };
+      const std::set<Identity> were = voters(before), are = voters(i);
+      std::vector<Identity> differ;
+      std::set_symmetric_difference(were.begin(), were.end(), are.begin(), are.end(),
+                                    std::back_inserter(differ));
+      REQUIRE(differ.size() <= 1);
+      REQUIRE(before <= agreement.commit());
+      REQUIRE(log.TermAt(agreement.commit()) == agreement.term());
+      ++changes;
+    }
+  }
   void Restore(Node* node, const Snapshot& snapshot) {
     node->digest = 0;
     for (std::size_t b = 0; b < snapshot.state.size(); ++b)
