--- a/src/structures/handoff_queue.h
+++ b/src/structures/handoff_queue.h
@@ -7,10 +7,11 @@
 //   worker:  while (auto write = queue.Pop()) queue.Give(Do(*write));
 //   stop:    queue.Stop(Ending::kDrain); worker.join(); take the results; then destroy the queue
 //
-// - One thread calls the loop's side, one the worker's. The loop never waits for work: it takes a lock that is
+// - One thread calls the loop's side, one the worker's. The loop never waits for work: it takes a lock
 //   held for a few moves of an item, never while the worker works.
-// - The bound counts what was pushed and whose result was not taken yet. So there is always room for a result:
-//   the worker never waits for the loop, and a stop with join cannot lock up, however full the queue is.
+// - The bound counts what was pushed and whose result was not taken yet. So there is always room
+//   for a result: the worker never waits for the loop, and a stop with join cannot lock up, however full the
+//   queue is.
 // - The worker gives one result for each item, in the order of the items, before it pops the next.
 // - `wake` is called on the worker's thread, never under the lock, once each time that a result comes where
 //   none waited. The loop takes until there is none; a wake-up may find none, since results may be taken at
