--- a/tests/agreement_message_test.cpp
+++ b/tests/agreement_message_test.cpp
@@ -34,7 +34,7 @@
   return m;
 }
 
-TEST_CASE("agreement messages: what is sent is read; cut, longer, foreign and deep bytes are refused") {
+TEST_CASE("agreement messages: what is sent is read, cut, longer, foreign and deep bytes are refused") {
   const MessageBounds bounds;
   pcg32 random(5);
   for (int i = 0; i < 200; ++i) {
--- a/tests/budgets_test.cpp
+++ b/tests/budgets_test.cpp
@@ -186,7 +186,7 @@
 }
 
 TEST_CASE(
-    "an idle member's part goes to who needs it, and comes back; a member that lies gains a fair part only") {
+    "an idle member's part goes to who needs it, and comes back, a member that lies gains a fair part only") {
   Quiet w(4);
   w.processes[0].appetite = 90;
   for (std::size_t i = 1; i < 4; ++i) w.processes[i].appetite = 1;
@@ -248,7 +248,7 @@
 }
 
 TEST_CASE(
-    "members change under load: ten join at once, three go; floors grow after all that shrink confirmed") {
+    "members change under load: ten join at once, three go, floors grow after all that shrink confirmed") {
   Quiet w(5, 10);
   w.Run(3 * kSecond);
   Command change;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -227,7 +227,7 @@
   CHECK(town.Of(1, 2) == State::kUp);
 }
 
-TEST_CASE("a clock that is apart is told by all, itself too, and it alone; one at the edge is not") {
+TEST_CASE("a clock that is apart is told by all, itself too, and it alone, one at the edge is not") {
   Town town(5);
   town.all[1].offset = 190 * kMs;
   town.all[4].offset = 400 * kMs;
@@ -239,7 +239,7 @@
   for (const MemberId by : town.Ids()) CHECK(town.all[by].view->Barred().empty());
 }
 
-TEST_CASE("members are configured in and out; strangers are counted, not listed") {
+TEST_CASE("members are configured in and out, strangers are counted, not listed") {
   Town town(4);
   town.StartAll();
   town.all[0].view->Configure({0, 1, 2}, town.now);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -131,7 +131,7 @@
 }
 
 TEST_CASE(
-    "store: each step fails once, then the power goes; a failed sync is not taken for a good one later") {
+    "store: each step fails once, then the power goes, a failed sync is not taken for a good one later") {
   Disk disk;
   for (int at = 0;; ++at) {
     CAPTURE(at);
