--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 	clang-format --dry-run --Werror $(SOURCES)
 	python3 .ci/check_rooms.py
 	python3 .ci/check_sizes.py
+	python3 .ci/check_test_names.py
 	python3 .ci/check_packages.py
 
 run: build ## the program; needs ROUTER_CONFIG, the path of a configuration as the README describes it
--- a/tests/class_table_test.cpp
+++ b/tests/class_table_test.cpp
@@ -47,7 +47,7 @@
   CHECK(table.settings().max_tries == 5);
 }
 
-TEST_CASE("a changed class moves where a task uses it and learns from where it was; the task keeps its own") {
+TEST_CASE("a changed class moves where a task uses it and learns from where it was, the task keeps its own") {
   ClassTable table(Of({Class("a"), Class("b")}));
   table.Use(0);
   const auto change = table.Apply(Of({Class("a", Effect::kUnsafe), Class("b")}));
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -147,7 +147,7 @@
   std::filesystem::remove_all(folder);
 }
 
-TEST_CASE("a ban holds over the list and comes back cold; a node under a new uid is not banned") {
+TEST_CASE("a ban holds over the list and comes back cold, a node under a new uid is not banned") {
   Rotation rotation([](std::string_view id) { return static_cast<Rotation::NodeId>(id.back() - '0'); });
   passbridge::NodeEntry entry;
   entry.node = 3;
--- a/tests/operations_story_test.cpp
+++ b/tests/operations_story_test.cpp
@@ -215,7 +215,7 @@
 
 TEST_CASE_FIXTURE(
     Operated,
-    "drained, the program says no, lets connections go and serves whoever comes; then it is active again") {
+    "drained, the program says no, lets connections go and serves whoever comes, and then is active again") {
   Program& program = Start(false);
   const int port = program.admin_port();
   Wire idle = program.Owner(), busy = program.Owner();
--- a/tests/sites_test.cpp
+++ b/tests/sites_test.cpp
@@ -182,7 +182,7 @@
   CHECK(Of(1) == State::kUp);
 }
 
-TEST_CASE_FIXTURE(Fleet, "a dead list loses no hall; a hall without a node in service is no verdict either") {
+TEST_CASE_FIXTURE(Fleet, "a dead list loses no hall, a hall without a node in service is no verdict either") {
   Run(2 * kSecond);
   for (int node = 1; node < kNodes; node += 3) List(node, false);
   Run(5 * kSecond);
@@ -513,7 +513,7 @@
   CHECK(AsJson(drill)["sites"][1]["lost"] == true);
 }
 
-TEST_CASE("a drill on a full fleet: the last classes are refused; where the first is, the plan is broken") {
+TEST_CASE("a drill on a full fleet: the last classes are refused, where the first is, the plan is broken") {
   const Plan plan = UsualPlan(Halls());
   DrillTerms terms;
   terms.mix = {{"web-api", 50}, {"card-worker", 45}, {"settlement", 5}};
