--- a/tests/story_operated.h
+++ b/tests/story_operated.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "story_site.h"
 #include "story_http.h"
+#include "story_site.h"
 
 namespace willowrail::story {
 
--- a/tests/story_test.cpp
+++ b/tests/story_test.cpp
@@ -1,13 +1,13 @@
 // Stories over loopback: the real program among scripted owners, agents and a bulletin, one for each failure
 // met or guarded against. Most tasks are unsafe, so that no time-out moves them on where a machine is slow.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "story_site.h"
-
 #include <atomic>
 #include <map>
 #include <set>
 #include <vector>
 
+#include "story_site.h"
+
 namespace willowrail::story {
 namespace {
 
