Keep the program with each candidate, count and tell what the exchange could not write

Found on reading the change: Pick looked each candidate up in the table again to learn what Score had known (once a candidate and pick); a change that failed while the process ends, the handover of all tasks among them, was no longer said, and none was counted; the class was read three times from a set-up.

--- a/src/decide/memory.h
+++ b/src/decide/memory.h
@@ -133,6 +133,7 @@
 struct Candidate {  // of a bind: C and W of the node
   NodeId node = 0;
   double c = 0, w = 1;
+  bool program = false;  // the node keeps that of the service at hand
 };
 
 struct OnNode {
--- a/src/decide/ranking.h
+++ b/src/decide/ranking.h
@@ -10,10 +10,11 @@
 namespace passbridge::decide {
 
 struct Ranking : Filters {
-  bool Program(const Node& n) const { return n.turn == turn && n.program; }  // kept for the service at hand
   Candidate Score(const Node& n, const Task& task) const {
-    const double bind = Program(n) ? task.cores : kSetupTasks * settings.mean_cores;
-    return {n.entry.node, (n.asked.cores + bind) / settings.mean_cores, Weight(n)};
+    const bool program = n.turn == turn && n.program;
+    if (!n.heard) return {n.entry.node, 0, 0, program};
+    const double bind = program ? task.cores : kSetupTasks * settings.mean_cores;
+    return {n.entry.node, (n.asked.cores + bind) / settings.mean_cores, Weight(n), program};
   }
   double Weight(const Node& n) const {
     const Room &asked = n.asked, &used = Used(n);
@@ -31,7 +32,7 @@
     return std::max(std::hypot(kRhoMemory * q, kRhoCores * v), 1e-9);
   }
   void Take(const Node& n, const Request& r, double* room) {
-    scores.push_back(n.heard ? Score(n, r.task) : Candidate{n.entry.node, 0, 0});
+    scores.push_back(Score(n, r.task));
     *room += n.heard ? std::floor(RoomAsked(n, {r.task.cores, r.task.memory}, {0, 0})) : 1;
   }
   double Rivals() const { return static_cast<double>(held.size()) * (settings.scheduler_count - 1); }
@@ -85,10 +86,10 @@
       }
     }
     if (scores.empty() || !(at_home || InTurn(r, room))) return std::nullopt;
-    Candidate sum{0, 0, 0};
-    for (const Candidate& s : scores) sum = {0, sum.c + s.c, sum.w + s.w};
+    Candidate sum{0, 0, 0, false};
+    for (const Candidate& s : scores) sum = {0, sum.c + s.c, sum.w + s.w, false};
     for (Candidate& s : scores) {  // not heard from: average
-      if (s.w <= 0) s = {s.node, sum.w > 0 ? sum.c : 1, sum.w > 0 ? sum.w : 1};
+      if (s.w <= 0) s = {s.node, sum.w > 0 ? sum.c : 1, sum.w > 0 ? sum.w : 1, s.program};
     }
     return Pick(r.task.service);
   }
@@ -118,12 +119,11 @@
     }
     level = std::max(level, scores[0].c / scores[0].w * (1 + kNearTie));
     NodeId best = scores[0].node;
-    const bool program = Program(*table.Find(best));
     double least = kNoLimit;
     for (const Candidate& s : scores) {
       const double drawn =
           -std::log(willowrail::HashDraw(service, s.node)) / std::max(1e-9, level * s.w - s.c);
-      if (s.c > level * s.w || drawn >= least || Program(*table.Find(s.node)) != program) continue;
+      if (s.c > level * s.w || drawn >= least || s.program != scores[0].program) continue;
       least = drawn;
       best = s.node;
     }
--- a/src/front/receive.cpp
+++ b/src/front/receive.cpp
@@ -111,14 +111,14 @@
 bool Front::ReadSetUp(const Message& m, SetUp* s) const {
   s->id = m.task;
   const passbridge::Settings& settings = classes_.settings();
+  const std::string_view class_name = m.Get(Code::kClass);
   s->task.tenant = Position(settings.tenants, m.Get(Code::kTenant));
-  if (s->id == 0 || m.Get(Code::kClass).empty()) return false;
+  if (s->id == 0 || class_name.empty()) return false;
   if (settings.tenants.empty()) s->task.tenant = 0;
   if (s->task.tenant < 0 || m.Get(Code::kDescription).empty()) return false;
   if (!ReadHex(m.Get(Code::kName), &s->task.name) || !ReadFigures(m.Get(Code::kFigures), s)) return false;
   // Guards against ends that nobody tells: new settings may have dropped the class of what stands.
-  const std::string_view its_name = m.Get(Code::kClass);
-  s->task.class_index = s->at ? classes_.ForStanding(its_name) : classes_.Position(its_name);
+  s->task.class_index = s->at ? classes_.ForStanding(class_name) : classes_.Position(class_name);
   if (s->task.class_index < 0) return false;
   const passbridge::ClassSettings& its_class =
       settings.classes[static_cast<std::size_t>(s->task.class_index)];
@@ -130,7 +130,7 @@
   }
   s->task.deadline = loop_->Now() + wait * kMs;
   s->task.repeat = m.Has(Code::kRetry);
-  const std::string_view class_name = m.Get(Code::kClass), name = m.Get(Code::kName), key = m.Get(Code::kKey),
+  const std::string_view name = m.Get(Code::kName), key = m.Get(Code::kKey),
                          description = m.Get(Code::kDescription);
   BlockPool::Ref& bytes = s->passage.bytes;
   bytes = Blocks().Make(proto::ParameterBytes(class_name) + proto::ParameterBytes(name) +
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -74,7 +74,8 @@
   X(bytes_kept) \
   X(bytes_held) \
   X(reloads) \
-  X(reloads_refused)
+  X(reloads_refused) \
+  X(exchange_failed)
 // clang-format on
 
 struct Counters {
--- a/src/roles/serving.cpp
+++ b/src/roles/serving.cpp
@@ -92,7 +92,10 @@
 void Serving::Run() {
   loop_.Run();
   loop_.FlushAll();
-  if (exchange_) exchange_->Finish();
+  if (exchange_) {
+    exchange_->Finish();
+    for (const Exchange::News& news : exchange_->Take()) SayUnwritten(news.error);
+  }
   Print();
 }
 
@@ -153,12 +156,17 @@
   }
 }
 
+void Serving::SayUnwritten(int error) {
+  if (error == 0) return;
+  ++counters.exchange_failed;
+  if (std::exchange(unwritten_told_, true)) return;
+  Log("what the next process is to know cannot be written down, it holds here alone: %s",
+      std::strerror(error));
+}
+
 void Serving::OnNews() {
   for (const Exchange::News& news : exchange_->Take()) {
-    if (news.error != 0 && !std::exchange(unwritten_told_, true)) {
-      Log("what the next process is to know cannot be written down, it holds here alone: %s",
-          std::strerror(news.error));
-    }
+    SayUnwritten(news.error);
     if (!news.text) continue;
     if (news.file == kRotationFile && config_.admin) {
       for (const NodeId node : rotation_.Read(*news.text, news.written, loop_.Now())) engine_.Rotated(node);
--- a/src/roles/serving.h
+++ b/src/roles/serving.h
@@ -49,6 +49,7 @@
   void Rotate(const std::string& agent, bool out);
   void OpenExchange();
   void OnNews();
+  void SayUnwritten(int error);
   void Print();
 
   const Files files_;
