Read operators' JSON files in one place

They are in src/documents now; budgets name the byte as the others do. The readers with places and legal values (sites, budgets, spending) are still three: they differ in exact figures and in what a list may hold, and are to become one with the next file that needs them.

--- a/src/budgets/budget_file.cpp
+++ b/src/budgets/budget_file.cpp
@@ -4,10 +4,11 @@
 
 #include <algorithm>
 #include <cmath>
-#include <fstream>
 #include <set>
 #include <stdexcept>
 
+#include "documents/load.h"
+
 namespace willowrail::budgets {
 namespace {
 
@@ -258,17 +259,7 @@
   return budgets;
 }
 
-BudgetFile LoadBudgets(const std::string& file) {
-  std::ifstream in(file);
-  if (!in) throw std::runtime_error(file + ": cannot be read");
-  json document;
-  try {
-    document = json::parse(in);
-  } catch (const json::exception& error) {
-    throw std::runtime_error(file + ": " + error.what());
-  }
-  return ReadBudgets(document, file);
-}
+BudgetFile LoadBudgets(const std::string& file) { return ReadBudgets(documents::Load(file), file); }
 
 json AsJson(const BudgetFile& budgets) {
   const auto over = [](std::int64_t value, double unit) -> json {
--- a/src/cli/sites_command.cpp
+++ b/src/cli/sites_command.cpp
@@ -3,12 +3,12 @@
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
-#include <fstream>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
 #include "config/config.h"
+#include "documents/load.h"
 #include "sites/drill.h"
 #include "sites/plan.h"
 
@@ -22,12 +22,10 @@
 };
 
 json ReadJson(const std::string& path) {
-  std::ifstream in(path);
-  if (!in) throw BadCall(path + ": cannot be read");
   try {
-    return json::parse(in);
-  } catch (const json::parse_error& error) {
-    throw BadCall(path + ": byte " + std::to_string(error.byte) + ": is no JSON");
+    return documents::Load(path);
+  } catch (const std::runtime_error& error) {
+    throw BadCall(error.what());
   }
 }
 
--- /dev/null
+++ b/src/documents/load.cpp
@@ -0,0 +1,18 @@
+#include "documents/load.h"
+
+#include <fstream>
+#include <stdexcept>
+
+namespace willowrail::documents {
+
+nlohmann::json Load(const std::string& file) {
+  std::ifstream in(file);
+  if (!in) throw std::runtime_error(file + ": cannot be read");
+  try {
+    return nlohmann::json::parse(in);
+  } catch (const nlohmann::json::parse_error& error) {
+    throw std::runtime_error(file + ": byte " + std::to_string(error.byte) + ": is no JSON: " + error.what());
+  }
+}
+
+}  // namespace willowrail::documents
--- /dev/null
+++ b/src/documents/load.h
@@ -0,0 +1,12 @@
+// Files of operators that hold one JSON document, for the rooms that read them.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace willowrail::documents {
+
+// Throws std::runtime_error, naming the file and, where it is no JSON, the byte.
+nlohmann::json Load(const std::string& file);
+
+}  // namespace willowrail::documents
--- a/src/sites/plan.cpp
+++ b/src/sites/plan.cpp
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 #include <cmath>
-#include <fstream>
 #include <numeric>
 #include <set>
 #include <stdexcept>
 
+#include "documents/load.h"
+
 namespace willowrail::sites {
 namespace {
 
@@ -267,15 +268,7 @@
 }
 
 Plan LoadPlan(const std::string& file, const Deployment& deployment) {
-  std::ifstream in(file);
-  if (!in) throw std::runtime_error(file + ": cannot be read");
-  json document;
-  try {
-    document = json::parse(in);
-  } catch (const json::parse_error& error) {
-    throw std::runtime_error(file + ": byte " + std::to_string(error.byte) + ": is no JSON: " + error.what());
-  }
-  return ReadPlan(document, file, deployment);
+  return ReadPlan(documents::Load(file), file, deployment);
 }
 
 }  // namespace willowrail::sites
