Read what came before a reset, see what lies unread, and do not sleep on a fed event

Now nothing more is written, and what came is read to the end before the connection ends as reset. Other errors of a write end it at once, as before. - Nothing told that a client's end or further bytes lay behind what was read. TCP_INQ tells both with the read itself, at no further call; LookAhead() asks poll(2) only where the socket has a pending event, is not being read, or the loop asked long ago. - An event fed to libev out of a deadline is handled after the turn's writes and after the timer was armed (Loop::BeforeSleep): what it brought about waited for the next event or deadline, five seconds in the test. The loop now looks again at once. Ruled out: libev's own order of priorities, which cannot put the prepare watcher behind what it feeds itself.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -21,6 +21,8 @@
 // Guards against a peer that asks without end and is slow to read: it is not heard until it has read.
 constexpr std::size_t kWriteBackedUp = 128 * 1024;
 constexpr std::size_t kMostPieces = 64;  // of one gathered write
+// What came so shortly after the loop asked is not looked for: a client that has gone is heard of in time.
+constexpr Time kFreshPoll = 20 * kMs;
 
 }  // namespace
 
@@ -58,7 +60,7 @@
     if (failed != 0 && errno != EINPROGRESS) dial_error_ = errno;
     Start(socket, EV_WRITE);
   }
-  if (dial_error_ != 0) ev_feed_event(loop_->raw(), &io_, EV_WRITE);
+  if (dial_error_ != 0) loop_->Feed(&io_, EV_WRITE);
 }
 
 void Connection::Start(int socket, int events) {
@@ -70,6 +72,7 @@
   io_.data = this;
   if (socket_ < 0) return;
   sys::SetOption(socket_, IPPROTO_TCP, TCP_NODELAY, 1);
+  looks_behind_ = sys::SetOption(socket_, IPPROTO_TCP, TCP_INQ, 1) == 0;
   ev_io_start(loop_->raw(), &io_);
 }
 
@@ -77,7 +80,7 @@
   ev_io_stop(loop_->raw(), &io_);
   ev_set_priority(&io_, EV_MAXPRI);
   ev_io_start(loop_->raw(), &io_);
-  ev_feed_event(loop_->raw(), &io_, EV_READ);
+  loop_->Feed(&io_, EV_READ);
 }
 
 std::string* Connection::out() {
@@ -132,12 +135,13 @@
 
 void Connection::Flush() {
   flush_marked_ = false;
+  if (broken_) DropQueue();
   if (!up()) return;
   while (!flushed()) {
     const ssize_t sent = WriteSome();
     if (sent < 0 && errno == EINTR) continue;
     if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK) {
-      End(Ending::kReset);
+      WriteFailed();
       return;
     }
     if (sent < 0) break;
@@ -163,9 +167,46 @@
   Flush();
 }
 
-bool Connection::Unread() const {
+// Guards against words that cross a reset: an answer, a refusal or a release that came before it would be
+// lost if the connection ended with the write that met the reset.
+void Connection::WriteFailed() {
+  const bool gone = errno == EPIPE || errno == ECONNRESET;
+  if (!gone || finishing_) {  // nothing more is read, or would tell the end
+    End(Ending::kReset);
+    return;
+  }
+  ++counters.writes_failed;
+  broken_ = true;
+  DropQueue();
+  Watch();
+}
+
+void Connection::DropQueue() {
+  out_.clear();
+  loop_->GiveBuffer(&out_);
+  pieces_.clear();  // what they refer to is not held by a connection that writes no more
+  written_ = first_piece_ = referred_ = 0;
+}
+
+std::size_t Connection::UnreadBytes() const {
   int bytes = 0;
-  return open() && sys::Unread(socket_, &bytes) == 0 && bytes > 0;
+  return open() && sys::Unread(socket_, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
+Incoming Connection::LookAhead() const {
+  if (!open() || broken_) return Incoming::kEnd;
+  const bool watched = (io_.events & EV_READ) != 0;
+  const bool fresh = loop_->Now() - loop_->polled_at() < kFreshPoll;
+  if (watched && fresh && !left_unread_ && !ev_is_pending(&io_)) return Incoming::kNothing;
+  const short found = sys::Poll(socket_, POLLIN | POLLRDHUP);
+  if ((found & (POLLRDHUP | POLLHUP | POLLERR)) != 0) return Incoming::kEnd;
+  return (found & POLLIN) != 0 ? Incoming::kBytes : Incoming::kNothing;
+}
+
+void Connection::ReadToEnd() {
+  if (!open() || finishing_) return;
+  reads_to_end_ = true;
+  Watch();
 }
 
 bool Connection::BackedUp() const {
@@ -175,7 +216,7 @@
 }
 
 void Connection::Watch() {
-  const bool read = !finishing_ && pending() < kWriteBackedUp;
+  const bool read = !finishing_ && (reads_to_end_ || pending() < kWriteBackedUp);
   const int events = (read ? EV_READ : 0) | (flushed() ? 0 : EV_WRITE);
   if ((io_.events & (EV_READ | EV_WRITE)) == events) return;
   ev_io_stop(loop_->raw(), &io_);
@@ -190,9 +231,7 @@
   if (socket_ >= 0) sys::Close(socket_);
   socket_ = -1;
   dialing_ = false;
-  pieces_.clear();  // what they refer to is not held by a connection that has ended
-  out_.clear();
-  written_ = first_piece_ = referred_ = 0;
+  DropQueue();
 }
 
 void Connection::Abort() {
@@ -232,12 +271,16 @@
   }
   std::memcpy(buffer, in_.data(), kept);
   counters.bytes_kept += kept;
-  const ssize_t got = sys::Recv(socket_, buffer + kept, Loop::kScratch / 2);
-  if (got < 0 && (errno == EINTR || errno == EAGAIN || errno == EWOULDBLOCK)) return;
+  constexpr std::size_t kMost = Loop::kScratch / 2;
+  const ssize_t got = looks_behind_ ? sys::ReceiveAndLookBehind(socket_, buffer + kept, kMost, &left_unread_)
+                                    : sys::Recv(socket_, buffer + kept, kMost);
+  if (!looks_behind_) left_unread_ = got == static_cast<ssize_t>(kMost);
+  if (got < 0 && !broken_ && (errno == EINTR || errno == EAGAIN || errno == EWOULDBLOCK)) return;
   if (got <= 0) {
-    End(got == 0 ? Ending::kClosed : Ending::kReset);
+    End(got == 0 && !broken_ ? Ending::kClosed : Ending::kReset);
     return;
   }
+  bytes_read_ += static_cast<std::uint64_t>(got);
   last_traffic = loop_->Now();
   const std::string_view data(buffer, kept + static_cast<std::size_t>(got));
   const std::size_t taken = handler_->OnData(*this, data);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -27,6 +27,13 @@
   kStuck     // the write queue outgrew its bound, or what came in outgrew a message
 };
 
+// What the kernel holds of the other side's that was not read yet.
+enum class Incoming {
+  kNothing,
+  kBytes,
+  kEnd  // the other side has closed or reset the connection, maybe behind some bytes
+};
+
 class Connection {
  public:
   class Handler {
@@ -54,7 +61,7 @@
   void Prefer();
 
   bool open() const { return socket_ >= 0; }
-  bool up() const { return open() && !dialing_; }
+  bool up() const { return open() && !dialing_ && !broken_; }
   bool flushed() const { return pending() == 0; }
   bool BackedUp() const;  // the other side does not read: bytes wait here, or in the socket, for room there
   // The write queue: append to it, it leaves before the loop sleeps, in one gathered write where the socket
@@ -66,8 +73,15 @@
   // input, whose reset can destroy answers that were just written: Close() comes a while later.
   void Finish();
   void Close();
-  void Abort();         // closes with a reset, as a process that dies: what is queued is lost
-  bool Unread() const;  // something has come that was not read yet
+  void Abort();  // closes with a reset, as a process that dies: what is queued is lost
+  bool Unread() const { return UnreadBytes() > 0; }  // something has come that was not read yet
+  std::size_t UnreadBytes() const;
+  // The same, with the end of the stream. Costs a system call only where something may have come since the
+  // loop asked, or lies behind what was read last.
+  Incoming LookAhead() const;
+  std::uint64_t bytes_read() const { return bytes_read_; }
+  // Reads on to the end also where the other side does not read what is queued for it: it has gone.
+  void ReadToEnd();
   bool finishing() const { return finishing_; }
 
   Handle tag = 0;             // for the owner of the connection
@@ -88,12 +102,21 @@
   void OnEvent(int events);
   void Read();
   void Watch();
+  void WriteFailed();
+  void DropQueue();
   void End(Ending ending);
 
   Loop* loop_;
   Handler* handler_;
   int socket_ = -1;
   bool dialing_ = false, flush_marked_ = false, finishing_ = false, shut_ = false;
+  // A write has failed: the other side has reset the connection. Nothing more is written; what it sent before
+  // that is read to the end, and then the connection ends as reset.
+  bool broken_ = false;
+  bool reads_to_end_ = false;  // whatever is queued
+  bool looks_behind_ = false;  // each read tells whether anything is left behind it
+  bool left_unread_ = false;   // it did
+  std::uint64_t bytes_read_ = 0;
   int dial_error_ = 0;
   ev_io io_;
   std::string in_;  // the unfinished message, else empty
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -71,6 +71,9 @@
   X(malformed) \
   X(unfinished) \
   X(stuck_writes) \
+  X(writes_failed) \
+  X(attempts_postponed) \
+  X(attempts_recalled) \
   X(bytes_kept) \
   X(bytes_held) \
   X(reloads) \
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -26,6 +26,13 @@
                   [](struct ev_loop*, ev_prepare* w, int) { static_cast<Loop*>(w->data)->BeforeSleep(); });
   prepare_.data = this;
   ev_prepare_start(loop_, &prepare_);
+  ev_check_init(&check_, [](struct ev_loop*, ev_check* w, int) {
+    Loop* loop = static_cast<Loop*>(w->data);
+    loop->polled_at_ = loop->Now();
+  });
+  check_.data = this;
+  ev_set_priority(&check_, EV_MAXPRI);  // before the events of the turn
+  ev_check_start(loop_, &check_);
   ev_timer_init(
       &timer_, [](struct ev_loop*, ev_timer*, int) {}, 0, 0);  // BeforeSleep does the work
   timer_.data = this;
@@ -36,6 +43,7 @@
   for (const auto& signal : signals_) ev_signal_stop(loop_, &signal->watcher);
   for (const auto& wake : wakes_) ev_async_stop(loop_, &wake->watcher);
   ev_timer_stop(loop_, &timer_);
+  ev_check_stop(loop_, &check_);
   ev_prepare_stop(loop_, &prepare_);
   ev_loop_destroy(loop_);
 }
@@ -76,6 +84,11 @@
   buried_.push_back(std::move(connection));
 }
 
+void Loop::Feed(ev_io* watcher, int event) {
+  ev_feed_event(loop_, watcher, event);
+  fed_ = true;
+}
+
 void Loop::TakeBuffer(std::string* buffer) {
   if (buffer->capacity() >= kBuffer) return;
   if (spare_.empty()) {
@@ -108,7 +121,9 @@
   ++turn_;
   buried_.clear();
   ev_timer_stop(loop_, &timer_);
-  const Time next = wheel_.Next();
+  // Guards against a sleep on what an event brings about that was fed in this very phase: it is handled after
+  // these lines, and its writes and deadlines belong to the next turn, which follows at once.
+  const Time next = std::exchange(fed_, false) ? 0 : wheel_.Next();
   if (next < 0) return;
   ev_now_update(loop_);
   ev_timer_set(&timer_, static_cast<double>(std::max<Time>(next - Now(), 0)) / kSecond, 0);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -28,6 +28,9 @@
   }
   Time Now();                        // the Unix clock; never goes back
   Time now() const { return now_; }  // when that was asked last
+  // When the kernel was last asked which sockets have something: what came before that is among the events of
+  // this turn.
+  Time polled_at() const { return polled_at_; }
   Handle At(Time at, Callback what) { return wheel_.Hang(at, what); }
   Handle After(Time delay, Callback what) { return At(Now() + delay, what); }
   void TakeDown(Handle handle) { wheel_.TakeDown(handle); }
@@ -37,6 +40,8 @@
   // The connection is flushed before the loop sleeps again, in the order of these calls.
   void FlushSoon(Connection* connection) { to_flush_.push_back(connection); }
   void Forget(Connection* connection);
+  // The watcher gets the event in this turn, without the kernel. What comes of it is not waited with.
+  void Feed(ev_io* watcher, int event);
   // Destroys it at the end of the turn: it may be in the middle of a call now.
   void Bury(std::unique_ptr<Connection> connection);
   // What is read goes here first, one buffer for all connections: only an unfinished message is kept apart.
@@ -65,9 +70,11 @@
 
   struct ev_loop* loop_;
   ev_prepare prepare_;
+  ev_check check_;
   ev_timer timer_;
-  Time now_ = 0;
+  Time now_ = 0, polled_at_ = 0;
   std::uint64_t turn_ = 1;
+  bool fed_ = false;  // an event may be handled after this turn's writes and before the loop sleeps
   Wheel wheel_;
   std::vector<Connection*> to_flush_;
   std::vector<std::unique_ptr<Connection>> buried_;
--- a/src/net/sys.h
+++ b/src/net/sys.h
@@ -3,6 +3,9 @@
 #pragma once
 
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
@@ -10,6 +13,7 @@
 
 #include <cstdint>
 #include <cstdio>
+#include <cstring>
 
 namespace willowrail::sys {
 
@@ -25,7 +29,8 @@
   X(close) \
   X(setsockopt) \
   X(getsockopt) \
-  X(ioctl)
+  X(ioctl) \
+  X(poll)
 // clang-format on
 
 struct Calls {
@@ -57,6 +62,27 @@
   ++calls.recv;
   return ::recv(socket, to, size, 0);
 }
+// Receives, and tells in `left` whether something is left to receive behind it: bytes, or the end of the
+// stream. Only on a socket that has the option TCP_INQ set; elsewhere `left` stays as it is.
+inline ssize_t ReceiveAndLookBehind(int socket, void* to, std::size_t size, bool* left) {
+  ++calls.recv;
+  iovec part{to, size};
+  alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))];
+  msghdr message{};
+  message.msg_iov = &part;
+  message.msg_iovlen = 1;
+  message.msg_control = control;
+  message.msg_controllen = sizeof control;
+  const ssize_t got = ::recvmsg(socket, &message, 0);
+  if (got < 0) return got;
+  for (cmsghdr* each = CMSG_FIRSTHDR(&message); each != nullptr; each = CMSG_NXTHDR(&message, each)) {
+    if (each->cmsg_level != IPPROTO_TCP || each->cmsg_type != TCP_CM_INQ) continue;
+    int bytes = 0;
+    std::memcpy(&bytes, CMSG_DATA(each), sizeof bytes);
+    *left = bytes > 0;
+  }
+  return got;
+}
 inline ssize_t Send(int socket, const void* from, std::size_t size) {
   ++calls.send;
   return ::send(socket, from, size, MSG_NOSIGNAL);
@@ -89,6 +115,12 @@
   ++calls.ioctl;
   return ::ioctl(socket, FIONREAD, bytes);
 }
+// What poll(2) says of the socket at once, of the events asked for and of its ends.
+inline short Poll(int socket, short events) {
+  ++calls.poll;
+  pollfd wanted{socket, events, 0};
+  return ::poll(&wanted, 1, 0) > 0 ? wanted.revents : short{0};
+}
 // Bytes that the socket has taken and its peer has no room for.
 inline int Unsent(int socket, int* bytes) {
   ++calls.ioctl;
--- a/src/structures/slot_table.h
+++ b/src/structures/slot_table.h
@@ -35,6 +35,7 @@
     Slot& slot = slots_[index];
     return slot.value && Pack(index, slot.generation) == handle ? &*slot.value : nullptr;
   }
+  const T* Get(Handle handle) const { return const_cast<SlotTable*>(this)->Get(handle); }
   bool Erase(Handle handle) {
     if (Get(handle) == nullptr) return false;
     const std::uint32_t index = static_cast<std::uint32_t>(handle);
