Ask in the moment of the write whether an attempt may begin, and number attempts

Cause: the decision to offer a task and the write of its set-up are apart by a dial or a turn of the loop. In between a client may have closed, reset or released (the bytes unread), and a node may have been listed as leaving; nothing looked again (Pool::SendSetUp). And what a node said was matched to an attempt by task and node alone (Engine::OnEnd): a second copy of an earlier refusal ended a set-up that still waited for its dial, which then went out with nobody knowing of it. Now AgentEvents::MayBegin is the one place that lets an attempt begin, asked by the pool in the moment of the write; it knows what the kernel holds of the client's connection. Unread bytes are read first, as many as lay there. What was not written to a node that leaves or was taken out by hand is taken back as never sent.

--- a/src/agents/connections.cpp
+++ b/src/agents/connections.cpp
@@ -72,19 +72,16 @@
     }
     if (other->heard >= dialled || !std::exchange(other->doubted, true)) dead = false;
   }
-  std::vector<TaskId> unsent;
+  std::vector<Waiting> unsent;
   for (const Waiting& w : waiting) {
     Line* other = Best(*peer);
     if (other != nullptr && !other->doubted) {
       SendSetUp(peer, other, w);
     } else {
-      unsent.push_back(w.id);
+      unsent.push_back(w);
     }
   }
-  for (const TaskId id : unsent) {
-    ++counters.attempts_no_connection;
-    events_->OnEnd(node, id, {Outcome::kNoConnection, Outcome::kAborted, Reason::kUntold, {}});
-  }
+  for (const Waiting& w : unsent) TellNoConnection(node, w);
   Hopeless(node);
   if (dead) events_->OnDead(node);
   peer = &peers_[node];
@@ -104,13 +101,16 @@
       if (test.line == 0) tests.push_back(test.id);
     }
   }
-  for (const Waiting& w : waiting) {
-    ++counters.attempts_no_connection;
-    events_->OnEnd(node, w.id, {Outcome::kNoConnection, Outcome::kAborted, Reason::kUntold, {}});
-  }
+  for (const Waiting& w : waiting) TellNoConnection(node, w);
   for (const TaskId id : tests) EndTest(node, id, Outcome::kNoConnection, {});
 }
 
+void Pool::TellNoConnection(NodeId node, const Waiting& waiting) {
+  ++counters.attempts_no_connection;
+  events_->OnAttemptEnd(node, waiting.id, waiting.attempt,
+                        {Outcome::kNoConnection, Outcome::kAborted, Reason::kUntold, {}});
+}
+
 void Pool::RedialLater(NodeId node, Peer* peer) {
   if (peer->redial != 0) return;
   peer->redial = loop_->After(kRedial, [this, node] {
@@ -151,19 +151,19 @@
   Remove(handle);
   Peer* peer = &peers_[node];
   if (ending == Ending::kReset) peer->cut_off = true;
-  std::vector<TaskId> open;
+  std::vector<std::pair<TaskId, AttemptId>> open;
   for (const auto& [id, sent] : peer->open) {
-    if (sent.line == handle) open.push_back(id);
+    if (sent.line == handle) open.emplace_back(id, sent.attempt);
   }
   if (ending == Ending::kReset || !open.empty()) {
     Log("agent %u: connection %s, %zu set-ups open on it, %zu tasks stand", node,
         ending == Ending::kReset ? "reset" : "closed", open.size(), peer->standing.size());
   }
   std::ranges::sort(open);  // the order of a table is nobody's to rely on
-  for (const TaskId id : open) peer->open.erase(id);
-  for (const TaskId id : open) {
+  for (const auto& [id, attempt] : open) peer->open.erase(id);
+  for (const auto& [id, attempt] : open) {
     ++counters.attempts_reset;
-    events_->OnEnd(node, id, {Outcome::kAborted, Outcome::kAborted, Reason::kUntold, {}});
+    events_->OnAttemptEnd(node, id, attempt, {Outcome::kAborted, Outcome::kAborted, Reason::kUntold, {}});
   }
   peer = &peers_[node];
   bool homeless = false;  // tests and cuts that were sent on it
--- a/src/agents/pool.h
+++ b/src/agents/pool.h
@@ -35,7 +35,8 @@
   std::size_t open() const;  // set-ups sent and not answered
 
   void Know(const ListedNode& node) override;
-  void Offer(NodeId node, TaskId id, const Passage& passage, Time until) override;
+  void Offer(NodeId node, TaskId id, AttemptId attempt, const Passage& passage, Time until) override;
+  bool Unwritten(NodeId node, TaskId id) const override;
   bool GiveUp(NodeId node, TaskId id) override;
   void Cut(NodeId node, TaskId id) override;
   void Stands(NodeId node, TaskId id, bool stands) override;
@@ -46,8 +47,9 @@
   Time WordsUntil(NodeId node) override;
 
  private:
-  struct Waiting {  // a set-up that waits for its connection
+  struct Waiting {  // a set-up that was not written yet
     TaskId id;
+    AttemptId attempt;
     Passage passage;
     Time until;
   };
@@ -69,7 +71,12 @@
     std::size_t open = 0;          // set-ups sent on it and not answered
     std::vector<Waiting> waiting;  // until it is up
   };
+  struct Postponed {  // its client's words are read first
+    NodeId node;
+    Waiting waiting;
+  };
   struct Sent {
+    AttemptId attempt;
     Handle line;
     std::uint64_t turn;  // of the loop: the set-up left at its end
   };
@@ -100,7 +107,10 @@
   std::size_t OnData(Connection& connection, std::string_view data) override;
   void OnEnd(Connection& connection, Ending ending) override;
   bool Take(NodeId node, Connection& connection, const proto::Message& message);
-  void TakeRelease(NodeId node, const proto::Message& message);
+  void TakeRelease(NodeId node, std::optional<AttemptId> attempt, const proto::Message& message);
+  // Of an answer or release: the attempt that it ends, nothing where none is open there for the task. False
+  // where it is nobody's: a second copy of what ended an earlier attempt.
+  bool EndsAttempt(Peer* peer, Handle line, const proto::Message& message, std::optional<AttemptId>* attempt);
   void TakeNote(NodeId node, const proto::Message& message);
   void TakeTestResult(NodeId node, const proto::Message& message);
 
@@ -112,7 +122,12 @@
   void RedialLater(NodeId node, Peer* peer);
   bool Needed(const Peer& peer) const { return !peer.standing.empty() || !peer.cuts.empty(); }
   void KeepWay(NodeId node, Peer* peer);
+  void Place(NodeId node, const Waiting& waiting);
   void SendSetUp(Peer* peer, Line* line, const Waiting& waiting);
+  void Postpone(NodeId node, const Waiting& waiting);
+  void ResumePostponed();
+  void TellNoConnection(NodeId node, const Waiting& waiting);
+  void TakeAnswer(NodeId node, AttemptId attempt, const proto::Message& message);
   void SendTest(Testing* test, Line* line);
   void SendCut(TaskId id, Handle* sent_on, Line* line);
   Testing* StartTest(NodeId node, Peer* peer, Asker asker);
@@ -139,7 +154,9 @@
   SlotTable<Line> lines_;
   std::unordered_map<std::uint64_t, NodeId> at_address_;  // who was listed there last
   Handle speaking_ = 0;                                   // the line whose message is being taken
-  std::vector<NodeId> leaving_;                           // listed so, and not looked at for the last time
+  std::vector<Postponed> postponed_;
+  bool resumes_ = false;         // ResumePostponed is due
+  std::vector<NodeId> leaving_;  // listed so, and not looked at for the last time
 };
 
 }  // namespace willowrail
--- a/src/agents/receiving.cpp
+++ b/src/agents/receiving.cpp
@@ -122,30 +122,18 @@
 // False where it is none that an agent sends: noise.
 bool Pool::Take(NodeId node, Connection& connection, const Message& m) {
   Peer& peer = peers_[node];
-  const bool ends = m.type == Type::kAnswer || m.type == Type::kRelease;
   if (m.type == Type::kAnswer && m.Get(Code::kDescription).empty()) return false;
   if (m.type == Type::kRelease && m.CauseOr(-1) < 0) return false;
-  if (const auto it = peer.open.find(m.task); ends && it != peer.open.end()) {
-    // Guards against a second copy of what ended an earlier attempt here: a set-up that has not left yet, or
-    // that left by another connection, is not what it answers.
-    if (it->second.turn == loop_->turn() || it->second.line != connection.tag) {
-      ++counters.agent_stray;
-      return true;
-    }
-    if (Line* line = lines_.Get(connection.tag)) --line->open;
-    peer.open.erase(it);
-    if (m.type == Type::kRelease) ++counters.agent_refusals;
-  } else if (m.type == Type::kRelease) {
-    ++counters.agent_releases;
-  }
+  std::optional<AttemptId> attempt;
   switch (m.type) {
     case Type::kAnswer:
+      if (!EndsAttempt(&peer, connection.tag, m, &attempt)) return true;
       speaking_ = connection.tag;
-      events_->OnAnswer(node, m.task, m.Get(Code::kDescription));
+      TakeAnswer(node, attempt.value_or(0), m);
       speaking_ = 0;
       return true;
     case Type::kRelease:
-      TakeRelease(node, m);
+      if (EndsAttempt(&peer, connection.tag, m, &attempt)) TakeRelease(node, attempt, m);
       return true;
     case Type::kNote:
       TakeNote(node, m);
@@ -162,11 +150,39 @@
   }
 }
 
-void Pool::TakeRelease(NodeId node, const Message& m) {
+bool Pool::EndsAttempt(Peer* peer, Handle handle, const Message& m, std::optional<AttemptId>* attempt) {
+  const auto it = peer->open.find(m.task);
+  if (it == peer->open.end()) {
+    if (m.type == Type::kRelease) ++counters.agent_releases;
+    return true;
+  }
+  // Guards against a second copy of what ended an earlier attempt here: a set-up that has not left yet, or
+  // that left by another connection, is not what it answers.
+  if (it->second.turn == loop_->turn() || it->second.line != handle) {
+    ++counters.agent_stray;
+    return false;
+  }
+  *attempt = it->second.attempt;
+  if (Line* line = lines_.Get(handle)) --line->open;
+  peer->open.erase(it);
+  if (m.type == Type::kRelease) ++counters.agent_refusals;
+  return true;
+}
+
+// An answer to nothing that is open says nothing: number 0 is no attempt's.
+void Pool::TakeAnswer(NodeId node, AttemptId attempt, const Message& m) {
+  events_->OnAnswer(node, m.task, attempt, m.Get(Code::kDescription));
+}
+
+void Pool::TakeRelease(NodeId node, std::optional<AttemptId> attempt, const Message& m) {
   const int cause = m.CauseOr(static_cast<int>(Cause::kReset));
-  events_->OnEnd(node, m.task,
-                 {BeforeAnswer(cause), AfterAnswer(cause), ReadReason(m.Get(Code::kNote)),
-                  ReadReport(m.Get(Code::kReport))});
+  const AgentSays says{BeforeAnswer(cause), AfterAnswer(cause), ReadReason(m.Get(Code::kNote)),
+                       ReadReport(m.Get(Code::kReport))};
+  if (attempt) {
+    events_->OnAttemptEnd(node, m.task, *attempt, says);
+  } else {
+    events_->OnTaskEnd(node, m.task, says);
+  }
 }
 
 void Pool::TakeNote(NodeId node, const Message& m) {
--- a/src/agents/sending.cpp
+++ b/src/agents/sending.cpp
@@ -1,6 +1,7 @@
 // Which connection a set-up goes on, and what takes set-ups and tasks back.
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "agents/pool.h"
 #include "net/counters.h"
@@ -16,6 +17,7 @@
 constexpr std::size_t kMostLines = 4;      // connections to one agent
 constexpr std::size_t kBesideDoubted = 2;  // more where those are in doubt
 constexpr int kSpare = 16;                 // descriptors for the listener, the bulletin, the loop and files
+constexpr Time kResume = kMs;              // then the client's connection was read again
 constexpr Time kIdleMargin = kSecond;      // no set-up goes where the agent may be closing for idleness
 
 }  // namespace
@@ -44,11 +46,14 @@
   return nullptr;
 }
 
+void Pool::Offer(NodeId node, TaskId id, AttemptId attempt, const Passage& passage, Time until) {
+  Place(node, {id, attempt, passage, until});
+}
+
 // Guards against one spoilt answer, or one reset, that ends many set-ups: each goes on a connection of its
 // own while there are few.
-void Pool::Offer(NodeId node, TaskId id, const Passage& passage, Time until) {
+void Pool::Place(NodeId node, const Waiting& waiting) {
   Peer& peer = peers_[node];
-  const Waiting waiting{id, passage, until};
   const std::size_t room = static_cast<std::size_t>(std::max(sockets_ * 3 / 8 - kSpare, 1));
   const std::size_t most = std::clamp<std::size_t>(room / peers_.size(), 1, kMostLines);
   Line* best = Best(peer);
@@ -67,9 +72,20 @@
   }
 }
 
+// Asked in the moment of the write, since a client may leave and a node may drain after the decision.
 void Pool::SendSetUp(Peer* peer, Line* line, const Waiting& w) {
+  switch (events_->MayBegin(w.id, w.attempt)) {
+    case Begin::kNever:
+      ++counters.offers_unsent;
+      return;
+    case Begin::kLater:
+      Postpone(line->node, w);
+      return;
+    case Begin::kNow:
+      break;
+  }
   ++counters.offers_sent;
-  peer->open[w.id] = {line->connection->tag, loop_->turn()};
+  peer->open[w.id] = {w.attempt, line->connection->tag, loop_->turn()};
   ++line->open;
   Connection* connection = line->connection.get();
   const auto& [bytes, class_end] = w.passage;
@@ -79,10 +95,35 @@
   connection->Refer(bytes, class_end, bytes.size());
 }
 
+void Pool::Postpone(NodeId node, const Waiting& waiting) {
+  postponed_.push_back({node, waiting});
+  if (std::exchange(resumes_, true)) return;
+  loop_->After(kResume, [this] { ResumePostponed(); });
+}
+
+void Pool::ResumePostponed() {
+  resumes_ = false;
+  for (const Postponed& each : std::exchange(postponed_, {})) Place(each.node, each.waiting);
+}
+
+bool Pool::Unwritten(NodeId node, TaskId id) const {
+  const auto its = [id](const Waiting& w) { return w.id == id; };
+  if (std::ranges::any_of(postponed_, [&](const Postponed& p) { return p.node == node && its(p.waiting); }))
+    return true;
+  const auto peer = peers_.find(node);
+  if (peer == peers_.end()) return false;
+  if (std::ranges::any_of(peer->second.hopeless, its)) return true;
+  return std::ranges::any_of(peer->second.lines, [&](Handle handle) {
+    const Line* line = lines_.Get(handle);
+    return line != nullptr && std::ranges::any_of(line->waiting, its);
+  });
+}
+
 bool Pool::GiveUp(NodeId node, TaskId id) {
   Peer& peer = peers_[node];
   const auto its = [id](const Waiting& w) { return w.id == id; };
   std::size_t unsent = std::erase_if(peer.hopeless, its);
+  unsent += std::erase_if(postponed_, [&](const Postponed& p) { return p.node == node && its(p.waiting); });
   for (const Handle handle : peer.lines) {
     if (Line* line = lines_.Get(handle)) unsent += std::erase_if(line->waiting, its);
   }
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -198,10 +198,23 @@
 }
 
 // --- What agents say -------------------------------------------------------------------------------------
-void Engine::OnAnswer(NodeId node, TaskId id, std::string_view description) {
-  if (sites_ != nullptr) sites_->Answered(node, loop_->Now());
+Engine::Request* Engine::Attempted(TaskId id, AttemptId attempt) {
   Request* r = Find(id);
-  if (r == nullptr || !r->out || r->standing || r->node != node) {  // of an attempt that was given up
+  return r != nullptr && r->out && !r->standing && r->attempt == attempt ? r : nullptr;
+}
+
+Begin Engine::MayBegin(TaskId id, AttemptId attempt) {
+  Request* r = Attempted(id, attempt);
+  if (r == nullptr || !r->owed) return Begin::kNever;
+  if (owners_->StillWaits(r->origin, &r->read_by)) return Begin::kNow;
+  ++counters.attempts_postponed;
+  return Begin::kLater;
+}
+
+void Engine::OnAnswer(NodeId node, TaskId id, AttemptId attempt, std::string_view description) {
+  if (sites_ != nullptr) sites_->Answered(node, loop_->Now());
+  Request* r = Attempted(id, attempt);
+  if (r == nullptr) {  // it was given up
     ++counters.agent_stray;
     return;
   }
@@ -217,43 +230,52 @@
   Post(passbridge::Placed{handle, r->attempts - 1, node, loop_->Now() - r->sent});
 }
 
-void Engine::OnEnd(NodeId node, TaskId id, const AgentSays& says) {
-  Request* r = Find(id);
-  if (sites_ != nullptr) {
-    const bool its = r != nullptr && r->out && r->node == node;
-    if (its && !r->standing && says.outcome == Outcome::kNoConnection) {
-      sites_->Unanswered(node, r->sent);
-    } else if (its && !r->standing && says.outcome != Outcome::kAborted) {
-      sites_->Answered(node, loop_->Now());
-    } else if (says.standing != Outcome::kAborted) {
-      sites_->Spoke(node, loop_->Now());
-    }
-    if (its && !r->standing) sites_->AttemptOver(node, says.outcome == Outcome::kRefused);
+void Engine::TellSites(NodeId node, const Request& attempted, const AgentSays& says) {
+  if (sites_ == nullptr) return;
+  if (says.outcome == Outcome::kNoConnection) {
+    sites_->Unanswered(node, attempted.sent);
+  } else if (says.outcome != Outcome::kAborted) {
+    sites_->Answered(node, loop_->Now());
+  } else if (says.standing != Outcome::kAborted) {
+    sites_->Spoke(node, loop_->Now());
   }
-  if (r == nullptr || !r->out || r->node != node) {
+  sites_->AttemptOver(node, says.outcome == Outcome::kRefused);
+}
+
+void Engine::OnAttemptEnd(NodeId node, TaskId id, AttemptId attempt, const AgentSays& says) {
+  Request* r = Attempted(id, attempt);
+  if (r == nullptr) {
     ++counters.agent_stray;
-    const bool stood = says.standing == Outcome::kOk || says.standing == Outcome::kAborted;
-    if (r == nullptr && stood) stray_ends_.Note(node, id, says.standing == Outcome::kOk, loop_->Now());
     return;
   }
+  TellSites(node, *r, says);
   const Handle handle = by_id_.at(id);
-  if (!r->standing && says.outcome == Outcome::kOk) {
-    // Guards against trying again what is over: a short task can come to its end while it is still being
-    // started, and each further agent would only say the same. Its owner is told so, the module as well.
-    const Handle origin = r->origin;
-    const bool owed = r->owed;
-    if (owed) ++r->ends->faulted;
-    Unowe(r);
-    EndAttempt(handle, r, Outcome::kOk, says.reason, says.report);
-    if (owed) owners_->Fail(origin, id, Over::kEnded);
+  if (says.outcome != Outcome::kOk) {
+    EndAttempt(handle, r, says.outcome, says.reason, says.report);
     return;
   }
-  if (!r->standing) {
-    EndAttempt(handle, r, says.outcome, says.reason, says.report);
+  // Guards against trying again what is over: a short task can come to its end while it is still being
+  // started, and each further node would only say the same. Its client is told so, the module as well.
+  const Handle origin = r->origin;
+  const bool owed = r->owed;
+  if (owed) ++r->ends->faulted;
+  Unowe(r);
+  EndAttempt(handle, r, Outcome::kOk, says.reason, says.report);
+  if (owed) owners_->Fail(origin, id, Over::kEnded);
+}
+
+void Engine::OnTaskEnd(NodeId node, TaskId id, const AgentSays& says) {
+  if (sites_ != nullptr && says.standing != Outcome::kAborted) sites_->Spoke(node, loop_->Now());
+  Request* r = Find(id);
+  if (r == nullptr || !r->standing || r->node != node) {
+    ++counters.agent_stray;
+    const bool stood = says.standing == Outcome::kOk || says.standing == Outcome::kAborted;
+    if (r == nullptr && stood) stray_ends_.Note(node, id, says.standing == Outcome::kOk, loop_->Now());
     return;
   }
   const bool owner_ended = r->cutting || says.standing == Outcome::kCancelled;
-  FinishStanding(handle, r, r->cutting ? Outcome::kCancelled : says.standing, says.reason, !owner_ended);
+  FinishStanding(by_id_.at(id), r, r->cutting ? Outcome::kCancelled : says.standing, says.reason,
+                 !owner_ended);
 }
 
 void Engine::OnNote(NodeId node, TaskId id, passbridge::NoteKind kind, double level) {
@@ -328,6 +350,24 @@
   }
   const bool told = kind != passbridge::RosterKind::kFailed;
   Post(passbridge::RosterChanged{kind, version, told ? entries : nullptr});
+  for (const passbridge::NodeEntry& entry : *entries) {
+    if (entry.state != passbridge::NodeState::kReady) Recall(entry.node);
+  }
+}
+
+// Guards against a node that leaves between a decision and its write: while a connection is being dialled, or
+// the client's words are being read.
+void Engine::Recall(NodeId node) {
+  std::vector<Handle> unwritten;
+  requests_.ForEach([&](Handle handle, const Request& r) {
+    if (r.out && !r.standing && r.node == node && agents_->Unwritten(node, r.id)) unwritten.push_back(handle);
+  });
+  for (const Handle handle : unwritten) {
+    Request* r = requests_.Get(handle);
+    if (r == nullptr || !r->out || r->standing || r->node != node) continue;
+    ++counters.attempts_recalled;
+    GiveUp(handle, r, Outcome::kCancelled);
+  }
 }
 
 passbridge::NodeEntry Engine::AsDecided(const passbridge::NodeEntry& entry) const {
@@ -338,7 +378,9 @@
   const auto it = listed_.find(node);
   if (it == listed_.end() || it->second.gone) return;
   auto entries = std::make_shared<std::vector<passbridge::NodeEntry>>(1, AsDecided(it->second.entry));
+  const bool takes_more = entries->front().state == passbridge::NodeState::kReady;
   Post(passbridge::RosterChanged{passbridge::RosterKind::kDelta, 0, entries});
+  if (!takes_more) Recall(node);
 }
 
 std::size_t Engine::LoseTasks(NodeId node, Time sent_before, bool disown) {
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -59,8 +59,10 @@
   void OnTurnedAway(int class_index) override {
     ++ends_by_class_[static_cast<std::size_t>(class_index)]->throttled;
   }
-  void OnAnswer(NodeId node, TaskId id, std::string_view description) override;
-  void OnEnd(NodeId node, TaskId id, const AgentSays& says) override;
+  Begin MayBegin(TaskId id, AttemptId attempt) override;
+  void OnAnswer(NodeId node, TaskId id, AttemptId attempt, std::string_view description) override;
+  void OnAttemptEnd(NodeId node, TaskId id, AttemptId attempt, const AgentSays& says) override;
+  void OnTaskEnd(NodeId node, TaskId id, const AgentSays& says) override;
   void OnNote(NodeId node, TaskId id, passbridge::NoteKind kind, double level) override;
   void OnProbed(NodeId node, passbridge::Outcome outcome, Time took, passbridge::Report report) override;
   void OnAsked(NodeId node, passbridge::Outcome outcome, Time took) override;
@@ -80,6 +82,8 @@
     passbridge::Task task;
     bool owed = false, out = false, standing = false, cutting = false;
     int attempts = 0;
+    AttemptId attempt = 0;      // the last one's number
+    std::uint64_t read_by = 0;  // of its client's connection, before an attempt may begin
     NodeId node = 0;
     Time sent = 0;
     Handle timer = 0;
@@ -120,6 +124,11 @@
   // Returns how many there were; `disown`: nobody has said that they are over.
   std::size_t LoseTasks(NodeId node, Time sent_before, bool disown = false);
   void Erase(Handle handle, Request* r);
+  // The attempt that is out with this number and has no answer yet; null where it is over.
+  Request* Attempted(TaskId id, AttemptId attempt);
+  void TellSites(NodeId node, const Request& attempted, const AgentSays& says);
+  // Takes back what was not written yet to a node that may get nothing new.
+  void Recall(NodeId node);
   void LookAtSites();
   void CountByClass();
   passbridge::NodeEntry AsDecided(const passbridge::NodeEntry& entry) const;
@@ -139,6 +148,7 @@
   NumberMap<TaskId, Handle> by_id_;
   std::unordered_map<NodeId, Listed> listed_;
   std::size_t owed_ = 0;
+  AttemptId last_attempt_ = 0;
   StrayEnds stray_ends_;
   std::vector<passbridge::Event> events_;  // that wait until the actions at hand are carried out
   bool handling_ = false;
--- a/src/engine/orders.cpp
+++ b/src/engine/orders.cpp
@@ -27,6 +27,8 @@
   const Handle handle = a.id;
   const Time until = a.until > 0 ? std::min(a.until, r->task.deadline) : r->task.deadline;
   ++r->attempts;
+  r->attempt = ++last_attempt_;
+  r->read_by = 0;
   r->out = true;
   r->node = a.node;
   r->sent = loop_->Now();
@@ -37,7 +39,7 @@
     }
   });
   if (sites_ != nullptr) sites_->Asked(a.node, r->sent);
-  agents_->Offer(a.node, r->id, r->passage, until);
+  agents_->Offer(a.node, r->id, r->attempt, r->passage, until);
 }
 
 void Engine::Do(const passbridge::Probe& a) {
--- a/src/engine/ports.h
+++ b/src/engine/ports.h
@@ -17,6 +17,9 @@
 
 using TaskId = std::uint64_t;
 using NodeId = passbridge::NodeId;
+// One attempt to place a task at a node. No number is used twice in the life of a process, so that what is
+// said of an attempt that is over is never taken for news of the next.
+using AttemptId = std::uint64_t;
 
 // What is passed on to an agent unchanged, in the form in which it goes out: the class, and behind it the
 // rest. Copied from the message once, since it must outlive it; from there on everybody refers to the one
@@ -53,6 +56,10 @@
   virtual void Fail(Handle origin, TaskId id, Over over) = 0;
   virtual void Release(Handle origin, TaskId id, Over over) = 0;
   virtual void Move(Handle origin, TaskId id) = 0;
+  // Whether the client still waits there, by all that has come of its connection, also what was not read yet.
+  // Where bytes lie unread the answer is no until they have been read; `read_by` holds up to where, from one
+  // call to the next, and is 0 at first.
+  virtual bool StillWaits(Handle origin, std::uint64_t* read_by) = 0;
 
  protected:
   ~Owners() = default;
@@ -61,7 +68,11 @@
 class Agents {
  public:
   virtual void Know(const ListedNode& node) = 0;
-  virtual void Offer(NodeId node, TaskId id, const Passage& passage, Time until) = 0;
+  // The set-up is written as soon as a connection is up and AgentEvents::MayBegin says so, which is asked in
+  // the moment of the write.
+  virtual void Offer(NodeId node, TaskId id, AttemptId attempt, const Passage& passage, Time until) = 0;
+  // Whether the set-up waits for its connection or for MayBegin: nothing of it has been written.
+  virtual bool Unwritten(NodeId node, TaskId id) const = 0;
   // The set-up is given up, on the wire before this returns. False where it had never been sent.
   virtual bool GiveUp(NodeId node, TaskId id) = 0;
   virtual void Cut(NodeId node, TaskId id) = 0;  // a task that stands there
@@ -112,10 +123,18 @@
   passbridge::Report report;
 };
 
+enum class Begin { kNow, kLater, kNever };
+
 class AgentEvents {
  public:
-  virtual void OnAnswer(NodeId node, TaskId id, std::string_view description) = 0;
-  virtual void OnEnd(NodeId node, TaskId id, const AgentSays& says) = 0;
+  // The one place that decides whether an attempt may begin. kLater: to be asked again shortly, it may be
+  // given up meanwhile. kNever: the attempt is over, and its set-up is forgotten without a word.
+  virtual Begin MayBegin(TaskId id, AttemptId attempt) = 0;
+  virtual void OnAnswer(NodeId node, TaskId id, AttemptId attempt, std::string_view description) = 0;
+  // The attempt is over without an answer.
+  virtual void OnAttemptEnd(NodeId node, TaskId id, AttemptId attempt, const AgentSays& says) = 0;
+  // A task is over that stood there; of no attempt that is open.
+  virtual void OnTaskEnd(NodeId node, TaskId id, const AgentSays& says) = 0;
   virtual void OnNote(NodeId node, TaskId id, passbridge::NoteKind kind, double level) = 0;
   virtual void OnProbed(NodeId node, passbridge::Outcome outcome, Time took, passbridge::Report report) = 0;
   virtual void OnAsked(NodeId node, passbridge::Outcome outcome, Time took) = 0;
--- a/src/front/answer.cpp
+++ b/src/front/answer.cpp
@@ -29,6 +29,24 @@
   return owner->connection.get();
 }
 
+bool Front::StillWaits(Handle origin, std::uint64_t* read_by) {
+  Owner* owner = owners_.Get(origin);
+  if (owner == nullptr || owner->leaving > 0) return false;  // what was open on it is being given up
+  Connection* connection = owner->connection.get();
+  switch (connection->LookAhead()) {
+    case Incoming::kNothing:
+      return true;
+    case Incoming::kBytes:
+      // Guards against waiting for ever on who never stops sending: what has come by now is read, no more.
+      if (*read_by == 0) *read_by = connection->bytes_read() + connection->UnreadBytes();
+      return connection->bytes_read() >= *read_by;
+    case Incoming::kEnd:
+      connection->ReadToEnd();  // also where it reads nothing and so was not read
+      return false;
+  }
+  return false;
+}
+
 void Front::Answer(Handle origin, TaskId id, std::string_view description) {
   Connection* connection = Settled(origin, id);
   if (connection == nullptr) return;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -49,6 +49,7 @@
   void Fail(Handle origin, TaskId id, Over over) override;
   void Release(Handle origin, TaskId id, Over over) override;
   void Move(Handle origin, TaskId id) override;
+  bool StillWaits(Handle origin, std::uint64_t* read_by) override;
 
  private:
   struct Owner {
