Bound the connections to nodes by descriptors, and write only where a node can read

Seen on reading: the number of connections to nodes had no bound in all (Pool::Dial), only one a node: with more nodes than descriptors the listener and the watch on the list met EMFILE for good. A set-up could be queued behind bytes that a node does not read, and leave seconds later, when the node drained or the client had gone; and one could be written to a connection whose end was in the kernel already (Pool::Best), which made of an unsent attempt one that may have run. Now nodes get their three eighths and what clients leave unused, less the third that is promised to clients; beyond that the connection that was quiet for longest makes room, and a dial without any is counted and tried again where tasks stand.

--- a/src/agents/connections.cpp
+++ b/src/agents/connections.cpp
@@ -13,13 +13,66 @@
 using passbridge::Reason;
 
 constexpr Time kRedial = 400 * kMs;
+constexpr int kSpare = 16;  // descriptors for the listener, the bulletin, the loop and files
 
 }  // namespace
 
-// Null where there is nobody to dial.
+// Of the descriptors that the process may hold, those that clients never get.
+std::size_t Pool::OwnShare() const {
+  return static_cast<std::size_t>(std::max(sockets_ * 3 / 8 - kSpare, 1));
+}
+
+// Descriptors for nodes, at the most: their own share, and of what clients leave unused so much that clients
+// can have the third that they are promised. Guards against running out of them, which would cost the list of
+// nodes.
+std::size_t Pool::MostLines() const {
+  const std::size_t all = static_cast<std::size_t>(std::max(sockets_ - kSpare, 1));
+  const std::size_t unused = all - std::min(all, clients_());
+  const std::size_t promised = static_cast<std::size_t>(sockets_) / 3;
+  return std::max(OwnShare(), std::min(unused, all - std::min(all, promised)));
+}
+
+// Closes the connection on which nothing is under way that was quiet for longest; one to a node where tasks
+// stand only if there is no other: what ends there is told again on the next one. False where all are in use.
+bool Pool::MakeRoom() {
+  Handle victim = 0;
+  std::pair<bool, Time> least;
+  lines_.ForEach([&](Handle handle, const Line& line) {
+    const Peer& peer = peers_[line.node];
+    const bool tested = std::ranges::find(peer.tests, handle, &Testing::line) != peer.tests.end();
+    if (line.heard == 0 || line.open > 0 || tested || handle == reading_) return;
+    const std::pair rank(Needed(peer), line.connection->last_traffic);
+    if (victim != 0 && rank >= least) return;
+    victim = handle;
+    least = rank;
+  });
+  if (victim == 0) return false;
+  ++counters.agent_lines_evicted;
+  const NodeId node = lines_.Get(victim)->node;
+  Remove(victim);
+  Peer& peer = peers_[node];
+  if (Needed(peer) && peer.lines.empty()) RedialLater(node, &peer);
+  return true;
+}
+
+// Connections that may be written to no more, and on which nothing is under way.
+void Pool::DropIdle(Peer* peer) {
+  for (const Handle handle : std::vector<Handle>(peer->lines)) {
+    Line* line = lines_.Get(handle);
+    const bool tested = std::ranges::find(peer->tests, handle, &Testing::line) != peer->tests.end();
+    if (line->heard != 0 && line->open == 0 && !tested && handle != reading_ && !Usable(*line))
+      Remove(handle);
+  }
+}
+
+// Null where there is nobody to dial, or no descriptor left to do it with.
 Pool::Line* Pool::Dial(NodeId node, Peer* peer) {
   loop_->TakeDown(std::exchange(peer->redial, 0));
   if (!peer->known || peer->gone) return nullptr;
+  if (lines_.size() >= MostLines() && !MakeRoom()) {
+    ++counters.agent_dials_over_limit;
+    return nullptr;
+  }
   ++counters.agent_dials;
   Line fresh;
   fresh.connection = std::make_unique<Connection>(loop_, peer->address, this);
@@ -111,12 +164,17 @@
                         {Outcome::kNoConnection, Outcome::kAborted, Reason::kUntold, {}});
 }
 
+// A way to a node where tasks stand: where no descriptor is left it is tried again.
+void Pool::DialWay(NodeId node, Peer* peer) {
+  if (Dial(node, peer) == nullptr && peer->known && !peer->gone) RedialLater(node, peer);
+}
+
 void Pool::RedialLater(NodeId node, Peer* peer) {
   if (peer->redial != 0) return;
   peer->redial = loop_->After(kRedial, [this, node] {
     Peer& again = peers_[node];
     again.redial = 0;
-    if (Needed(again) && Dialling(again) == nullptr) Dial(node, &again);
+    if (Needed(again) && Dialling(again) == nullptr) DialWay(node, &again);
   });
 }
 
--- a/src/agents/pool.cpp
+++ b/src/agents/pool.cpp
@@ -72,7 +72,7 @@
   Peer& peer = peers_[node];
   if (stands) {
     std::erase(peer.disowned, id);  // its owner has handed it over again: it is wanted after all
-    const Line* line = lines_.Get(speaking_);
+    const Line* line = lines_.Get(reading_);
     peer.standing[id] = line != nullptr && line->node == node ? Birth{line->life, line->dialled} : Birth{};
     KeepWay(node, &peer);
   } else {
@@ -83,7 +83,7 @@
 
 // Where any task stands, a way is open or being dialled.
 void Pool::KeepWay(NodeId node, Peer* peer) {
-  if (Needed(*peer) && peer->lines.empty() && peer->redial == 0) Dial(node, peer);
+  if (Needed(*peer) && peer->lines.empty() && peer->redial == 0) DialWay(node, peer);
 }
 
 void Pool::CloseIdle(NodeId node) {
--- a/src/agents/pool.h
+++ b/src/agents/pool.h
@@ -4,11 +4,13 @@
 
 #include <netinet/in.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "engine/ports.h"
@@ -30,6 +32,9 @@
   Pool(Loop* loop, PoolTimes times, int sockets, std::uint64_t seed, AgentEvents* events);
 
   void SetTimes(PoolTimes times) { times_ = times; }
+  void SetSockets(int sockets) { sockets_ = sockets; }
+  // How many descriptors clients hold: what they leave unused may serve connections to nodes.
+  void SetClients(std::function<std::size_t()> clients) { clients_ = std::move(clients); }
   std::size_t size() const { return peers_.size(); }
   std::size_t lines() const { return lines_.size(); }
   std::size_t open() const;  // set-ups sent and not answered
@@ -114,11 +119,17 @@
   void TakeNote(NodeId node, const proto::Message& message);
   void TakeTestResult(NodeId node, const proto::Message& message);
 
+  std::size_t OwnShare() const;
+  std::size_t MostLines() const;
+  bool MakeRoom();
+  bool Usable(const Line& line);
+  void DropIdle(Peer* peer);
   Line* Best(const Peer& peer);
   Line* Dialling(const Peer& peer);
   Line* Dial(NodeId node, Peer* peer);
   void DialFailed(Handle handle, Ending ending);
   void Hopeless(NodeId node);
+  void DialWay(NodeId node, Peer* peer);
   void RedialLater(NodeId node, Peer* peer);
   bool Needed(const Peer& peer) const { return !peer.standing.empty() || !peer.cuts.empty(); }
   void KeepWay(NodeId node, Peer* peer);
@@ -148,12 +159,13 @@
   Loop* loop_;
   PoolTimes times_;
   int sockets_;
+  std::function<std::size_t()> clients_ = [] { return std::size_t{0}; };
   AgentEvents* events_;
   TaskId next_test_;
   std::unordered_map<NodeId, Peer> peers_;
   SlotTable<Line> lines_;
   std::unordered_map<std::uint64_t, NodeId> at_address_;  // who was listed there last
-  Handle speaking_ = 0;                                   // the line whose message is being taken
+  Handle reading_ = 0;                                    // the line whose messages are being taken
   std::vector<Postponed> postponed_;
   bool resumes_ = false;         // ResumePostponed is due
   std::vector<NodeId> leaving_;  // listed so, and not looked at for the last time
--- a/src/agents/receiving.cpp
+++ b/src/agents/receiving.cpp
@@ -84,10 +84,12 @@
   Heard(node, &peers_[node], line);
   line->doubted = false;
   bool malformed = false, noise = false;
+  reading_ = handle;
   const std::size_t taken = proto::DecodeAll(data, &malformed, [&](const Message& message) {
     noise = !Take(node, connection, message);
     return !noise && connection.open();
   });
+  reading_ = 0;
   if (!connection.open()) return taken;
   if (malformed || noise) {
     ++counters.malformed;
@@ -128,9 +130,7 @@
   switch (m.type) {
     case Type::kAnswer:
       if (!EndsAttempt(&peer, connection.tag, m, &attempt)) return true;
-      speaking_ = connection.tag;
       TakeAnswer(node, attempt.value_or(0), m);
-      speaking_ = 0;
       return true;
     case Type::kRelease:
       if (EndsAttempt(&peer, connection.tag, m, &attempt)) TakeRelease(node, attempt, m);
--- a/src/agents/sending.cpp
+++ b/src/agents/sending.cpp
@@ -16,12 +16,21 @@
 
 constexpr std::size_t kMostLines = 4;      // connections to one agent
 constexpr std::size_t kBesideDoubted = 2;  // more where those are in doubt
-constexpr int kSpare = 16;                 // descriptors for the listener, the bulletin, the loop and files
 constexpr Time kResume = kMs;              // then the client's connection was read again
 constexpr Time kIdleMargin = kSecond;      // no set-up goes where the agent may be closing for idleness
 
 }  // namespace
 
+// Whether something may be written there. Guards against a set-up that crosses an idle close, which would
+// count as one that may have run; against one that the other side's end, unread so far, has overtaken; and
+// against one that waits behind bytes which the node does not read, while it drains or its client leaves.
+bool Pool::Usable(const Line& line) {
+  const Connection& connection = *line.connection;
+  if (!connection.up() || connection.blocked()) return false;
+  if (loop_->Now() - connection.last_traffic >= times_.keepalive - kIdleMargin) return false;
+  return connection.LookAhead() != Incoming::kEnd;
+}
+
 // The connection to write to: one that answers, with the fewest set-ups open. Null where none is up.
 Pool::Line* Pool::Best(const Peer& peer) {
   const auto rank = [](const Line& line) {
@@ -30,9 +39,7 @@
   Line* best = nullptr;
   for (const Handle handle : peer.lines) {
     Line* line = lines_.Get(handle);
-    if (line == nullptr || !line->connection->up()) continue;
-    // Guards against a set-up that crosses an idle close: it would count as one that may have run.
-    if (loop_->Now() - line->connection->last_traffic >= times_.keepalive - kIdleMargin) continue;
+    if (line == nullptr || !Usable(*line)) continue;
     if (best == nullptr || rank(*line) < rank(*best)) best = line;
   }
   return best;
@@ -54,9 +61,9 @@
 // own while there are few.
 void Pool::Place(NodeId node, const Waiting& waiting) {
   Peer& peer = peers_[node];
-  const std::size_t room = static_cast<std::size_t>(std::max(sockets_ * 3 / 8 - kSpare, 1));
-  const std::size_t most = std::clamp<std::size_t>(room / peers_.size(), 1, kMostLines);
+  const std::size_t most = std::clamp<std::size_t>(OwnShare() / peers_.size(), 1, kMostLines);
   Line* best = Best(peer);
+  if (best == nullptr && peer.lines.size() >= most) DropIdle(&peer);
   const bool sound = best != nullptr && !best->doubted;
   if (sound && (best->open == 0 || peer.lines.size() >= most)) {
     SendSetUp(&peer, best, waiting);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -212,7 +212,7 @@
 bool Connection::BackedUp() const {
   if (!up()) return false;
   int bytes = 0;
-  return (io_.events & EV_WRITE) != 0 || (sys::Unsent(socket_, &bytes) == 0 && bytes > 0);
+  return blocked() || (sys::Unsent(socket_, &bytes) == 0 && bytes > 0);
 }
 
 void Connection::Watch() {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -63,6 +63,7 @@
   bool open() const { return socket_ >= 0; }
   bool up() const { return open() && !dialing_ && !broken_; }
   bool flushed() const { return pending() == 0; }
+  bool blocked() const { return up() && (io_.events & EV_WRITE) != 0; }  // bytes wait for room in the socket
   bool BackedUp() const;  // the other side does not read: bytes wait here, or in the socket, for room there
   // The write queue: append to it, it leaves before the loop sleeps, in one gathered write where the socket
   // takes it. Refer puts bytes of a block there by reference, which nobody may change from then on.
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -21,6 +21,8 @@
   X(owner_pruned) \
   X(agent_dials) \
   X(agent_dials_failed) \
+  X(agent_dials_over_limit) \
+  X(agent_lines_evicted) \
   X(agent_resets) \
   X(accept_failed) \
   X(bulletin_connects) \
