--- /dev/null
+++ b/tests/crossing_descriptors_test.cpp
@@ -0,0 +1,139 @@
+// Few descriptors and many who want one: clients that say nothing, more nodes than there is room for, and a
+// list that is down. Requests go on, the list is reached again, and a node that is needed can be dialled.
+#include <deque>
+
+#include "crossing_site.h"
+
+namespace willowrail::story {
+namespace {
+
+struct Crowded {
+  static constexpr rlim_t kDescriptors = 48;
+  static constexpr int kNodes = 64, kIdleClients = 60;
+
+  Port bulletin;
+  std::deque<Port> ports = std::deque<Port>(kNodes);
+  std::deque<NodeRecord> nodes;
+  std::optional<Program> program;
+  std::optional<Wire> feed, client;
+  std::vector<Wire> idle;
+  int events = 0;
+  TaskId next_task = 1;
+
+  // Only the node at `with_room` has room for anything.
+  json NodeAt(int i, double cores) const {
+    char uid[16];
+    std::snprintf(uid, sizeof uid, "s-%08x", static_cast<unsigned>(i + 1));
+    return Node(uid, ports[static_cast<std::size_t>(i)].endpoint(), cores);
+  }
+  void Start() {
+    json list = json::array();
+    for (int i = 0; i < kNodes; ++i) {
+      nodes.emplace_back(&ports[static_cast<std::size_t>(i)]);
+      list.push_back(NodeAt(i, 0.1));
+    }
+    program.emplace(list, bulletin, Settings(), kDescriptors);
+    program->Owner().NothingElse();  // it is at work
+  }
+  void Crowd() {
+    for (int i = 0; i < kIdleClients; ++i) idle.push_back(program->Owner());
+  }
+  void Connect() {
+    feed.reset();
+    while (!feed) {
+      Wire call = bulletin.Accept();
+      if (call.Bytes().empty() || call.Ended()) continue;
+      call.Raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n");
+      feed.emplace(std::move(call));
+    }
+  }
+  void Tell(const json& list) {
+    if (!feed || feed->Ended()) Connect();
+    const int number = ++events + 1;
+    feed->Raw("id: " + std::to_string(number) + "\ndata: " + Event(number, list).dump() + "\n\n");
+    program->Counted("bulletin_events", events);
+  }
+  // The request is served by that node, which alone has room, and its task comes to its end.
+  void ServedBy(int i) {
+    CAPTURE(i);
+    const TaskId task = next_task++;
+    if (!client) client.emplace(program->Owner());
+    Ask(&*client, task, "unsafe");
+    Wire& line = nodes[static_cast<std::size_t>(i)].AwaitSetUp(task);
+    line.Answer(task, "there");
+    CHECK(client->Hear(Type::kAnswer, task).description == "there");
+    line.Say(Type::kRelease, task, Cause::kEnded);
+    CHECK(client->Hear(Type::kRelease, task).cause == 16);
+    client->Say(Type::kReleaseHeard, task);
+  }
+  void OnlyRoomAt(int i) {
+    json list = json::array({NodeAt(i, 10)});
+    if (i > 0) list.push_back(NodeAt(i - 1, 0.1));
+    Tell(list);
+  }
+  void NoDescriptorWasMissing() {
+    program->Signal(SIGUSR1);
+    CHECK(program->Logged("counter agent_dials_failed ") == "0");
+    CHECK(program->Logged("counter accept_failed ") == "0");
+    CHECK(program->Logged("counter attempts_no_connection ") == "0");
+  }
+};
+
+// Must: idle connections to nodes make room for one that is needed, while clients hold their share.
+TEST_CASE_FIXTURE(Crowded, "more nodes than descriptors, each needed once, while idle clients hold theirs") {
+  Start();
+  SUBCASE("no idle clients") {}
+  SUBCASE("idle clients") { Crowd(); }
+  for (int i = 0; i < kNodes; ++i) {
+    OnlyRoomAt(i);
+    ServedBy(i);
+  }
+  NoDescriptorWasMissing();
+}
+
+// Must: a task that is under way is not lost to the need of another node.
+TEST_CASE_FIXTURE(Crowded, "a connection with a set-up open on it is not the one that makes room") {
+  Start();
+  client.emplace(program->Owner());
+  OnlyRoomAt(0);
+  Ask(&*client, kTask, "unsafe");
+  Wire& line = nodes[0].AwaitSetUp(kTask);
+  Crowd();
+  for (int i = 1; i < kNodes; ++i) {
+    OnlyRoomAt(i);
+    ServedBy(i);
+  }
+  line.Answer(kTask, "there");
+  CHECK(client->Hear(Type::kAnswer, kTask).description == "there");
+  NoDescriptorWasMissing();
+}
+
+// Must: while the list refuses connections idle clients may take all that is left to them, and what runs gets
+// its answer; the list is reached once it is back, and what it tells holds.
+TEST_CASE_FIXTURE(Crowded, "the list is down while idle clients fill the descriptors, then it is back") {
+  Start();
+  OnlyRoomAt(0);
+  client.emplace(program->Owner());
+  Ask(&*client, kTask, "unsafe");
+  Wire& line = nodes[0].AwaitSetUp(kTask);
+  bulletin.Close();
+  feed->Close();
+  program->Logged("bulletin: closed");
+  Crowd();
+  line.Answer(kTask, "there");
+  CHECK(client->Hear(Type::kAnswer, kTask).description == "there");
+  ServedBy(0);
+  Crowd();
+  bulletin.Open();
+  Connect();
+  for (int i = 1; i < 20; ++i) {
+    OnlyRoomAt(i);
+    ServedBy(i);
+  }
+  program->Signal(SIGUSR1);
+  CHECK(program->Logged("counter accept_failed ") == "0");
+  CHECK(program->Logged("counter attempts_no_connection ") == "0");
+}
+
+}  // namespace
+}  // namespace willowrail::story
--- /dev/null
+++ b/tests/crossing_site.h
@@ -0,0 +1,162 @@
+// The site of the tests in which two events cross: what each node got is on record, the list can be told
+// anything, and the program can be paused so that it finds several events in the kernel at once.
+#pragma once
+
+#include <chrono>
+#include <deque>
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "story_site.h"
+
+namespace willowrail::story {
+
+constexpr TaskId kThird = 0x0a0b0c0d01020304, kFourth = 0x0a0b0c0d05060708;
+
+// What a node was sent, on any connection.
+class NodeRecord {
+ public:
+  explicit NodeRecord(Port* port) : port_(port) {}
+
+  // Takes up what has come so far.
+  void Read() {
+    while (port_->Dialled()) lines_.push_back(port_->Accept());
+    for (std::size_t i = 0; i < lines_.size(); ++i) {
+      while (lines_[i].Speaks(0) && !lines_[i].Ended()) heard_.emplace_back(i, lines_[i].Hear());
+    }
+  }
+  // Waits for the message; returns the connection that it came on.
+  Wire& Await(Type type, TaskId task) {
+    const Patience patience;
+    while (Count(type, task) == 0) {
+      patience.Check();
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      Read();
+    }
+    return *LineOf(type, task);
+  }
+  Wire& AwaitSetUp(TaskId task) { return Await(Type::kSetUp, task); }
+  // Accepts one connection.
+  Wire& Accept() { return lines_.emplace_back(port_->Accept()); }
+  std::size_t Count(Type type, TaskId task) const {
+    std::size_t count = 0;
+    for (const auto& [line, heard] : heard_) count += heard.type == type && heard.task == task;
+    return count;
+  }
+  std::size_t SetUps(TaskId task) const { return Count(Type::kSetUp, task); }
+  const Heard* Find(Type type, TaskId task) const {
+    for (const auto& [line, heard] : heard_) {
+      if (heard.type == type && heard.task == task) return &heard;
+    }
+    return nullptr;
+  }
+
+ private:
+  Wire* LineOf(Type type, TaskId task) {
+    for (const auto& [line, heard] : heard_) {
+      if (heard.type == type && heard.task == task) return &lines_[line];
+    }
+    return nullptr;
+  }
+
+  Port* port_;
+  std::deque<Wire> lines_;  // a reference to one stays good
+  std::vector<std::pair<std::size_t, Heard>> heard_;
+};
+
+inline void RefuseForCores(Wire* node, TaskId task) {
+  node->Say(Type::kRelease, task,
+            [](proto::Writer& w) { w.Add(Cause::kFull).Add(Code::kNote, std::string_view("cpu_full")); });
+}
+
+struct CrossingSite : Site {
+  NodeRecord at_first{&first}, at_second{&second};
+  std::optional<Wire> feed;
+  int events = 0;
+
+  static json PatientDials() {
+    json settings = Settings();
+    settings["Allowed"]["DialTimeout"] = 8'000'000'000;  // longer than the kernel takes to dial again
+    return settings;
+  }
+  void StartWith(double first_cores, double second_cores, const json& settings = Settings(), rlim_t limit = 0,
+                 rlim_t told = 0) {
+    program.emplace(json{Node("s-00000001", first.endpoint(), first_cores),
+                         Node("s-00000002", second.endpoint(), second_cores)},
+                    bulletin, settings, limit, told);
+    program->Owner().NothingElse();  // it is at work: a signal before that would end it
+  }
+  // The list says so; the program has not necessarily read it.
+  void Tell(const json& nodes) {
+    if (feed && feed->Ended()) feed.reset();
+    while (!feed) {  // of those that it gave up meanwhile, none is its way any more
+      Wire call = bulletin.Accept();
+      if (call.Bytes().empty() || call.Ended()) continue;
+      call.Raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n");
+      feed.emplace(std::move(call));
+    }
+    const int number = ++events + 1;
+    feed->Raw("id: " + std::to_string(number) + "\ndata: " + Event(number, nodes).dump() + "\n\n");
+  }
+  void TellAndWait(const json& nodes) {
+    Tell(nodes);
+    program->Counted("bulletin_events", events);
+  }
+  int Count(const std::string& counter) {
+    program->Signal(SIGUSR1);
+    return std::stoi(program->Logged("counter " + counter + " "));
+  }
+  // The list tells of ever other room at the first node: a refusal for want of cores counts for a while.
+  template <typename Done>
+  void TellRoomAtFirstUntil(Done done) {
+    const Patience patience;
+    for (double cores = 9.5; !done(); cores -= 0.01) {
+      patience.Check();
+      TellAndWait(json::array({First(cores)}));
+    }
+  }
+  json First(double cores, const std::string& state = "in_service") const {
+    return Node("s-00000001", first.endpoint(), cores, state);
+  }
+  json Second(double cores, const std::string& state = "in_service") const {
+    return Node("s-00000002", second.endpoint(), cores, state);
+  }
+  // A connection to the one node with room is up and carries nothing: what is sent there next waits for no
+  // dial.
+  Wire& WarmLine(NodeRecord* node) {
+    Wire client = program->Owner();
+    Ask(&client, kThird, "unsafe");
+    Wire& line = node->AwaitSetUp(kThird);
+    line.Answer(kThird, "there");
+    client.Hear(Type::kAnswer, kThird);
+    line.Say(Type::kRelease, kThird, Cause::kEnded);
+    client.Hear(Type::kRelease, kThird);
+    client.Say(Type::kReleaseHeard, kThird);
+    program->Counted("owed_ends", 0, "size ");
+    return line;
+  }
+  // The time within which a client that left may still be overtaken by an attempt has passed.
+  static void LetGraceOfLeavingPass() { std::this_thread::sleep_for(std::chrono::milliseconds(150)); }
+  // Another client's request reaches a node: what the program wrote before that has arrived as well.
+  void Fence(TaskId task = kOther) {
+    Wire client = program->Owner();
+    Ask(&client, task, "safe");
+    const Patience patience;
+    while (at_first.SetUps(task) + at_second.SetUps(task) == 0) {
+      patience.Check();
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      at_first.Read();
+      at_second.Read();
+    }
+    NodeRecord& record = at_first.SetUps(task) > 0 ? at_first : at_second;
+    record.AwaitSetUp(task).Answer(task, "fence");
+    client.Hear(Type::kAnswer, task);
+    at_first.Read();
+    at_second.Read();
+  }
+};
+
+}  // namespace willowrail::story
--- a/tests/story.h
+++ b/tests/story.h
@@ -91,6 +91,12 @@
     setsockopt(socket_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
     Close();
   }
+  void HalfClose() const { REQUIRE(::shutdown(socket_, SHUT_WR) == 0); }
+  // The other side has ended it, and nothing is left to hear.
+  bool Ended() const {
+    char byte = 0;
+    return in_.empty() && Readable() && ::recv(socket_, &byte, 1, MSG_PEEK) <= 0;
+  }
   void Raw(std::string_view bytes) {
     REQUIRE(::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
   }
@@ -338,6 +344,12 @@
   Wire Owner() const { return Wire::To(port_); }
   int admin_port() const { return admin_port_; }
   void Signal(int number) const { ::kill(process_, number); }
+  // What comes until Resume() is found in the kernel all at once.
+  void Pause() const {
+    Signal(SIGSTOP);
+    REQUIRE(::waitpid(process_, nullptr, WUNTRACED) == process_);
+  }
+  void Resume() const { Signal(SIGCONT); }
   // The rest of the first line that holds `text`, read on from the last one found.
   std::string Logged(const std::string& text) {
     while (true) {
