--- a/tests/crossing_site.h
+++ b/tests/crossing_site.h
@@ -46,6 +46,16 @@
     for (const auto& [line, heard] : heard_) count += heard.type == type && heard.task == task;
     return count;
   }
+  // Set-ups that have come since it was last asked, and where.
+  std::vector<std::pair<Wire*, TaskId>> Unanswered() {
+    Read();
+    std::vector<std::pair<Wire*, TaskId>> fresh;
+    for (; looked_at_ < heard_.size(); ++looked_at_) {
+      const auto& [line, heard] = heard_[looked_at_];
+      if (heard.type == Type::kSetUp) fresh.emplace_back(&lines_[line], heard.task);
+    }
+    return fresh;
+  }
   std::size_t SetUps(TaskId task) const { return Count(Type::kSetUp, task); }
   const Heard* Find(Type type, TaskId task) const {
     for (const auto& [line, heard] : heard_) {
@@ -65,6 +75,7 @@
   Port* port_;
   std::deque<Wire> lines_;  // a reference to one stays good
   std::vector<std::pair<std::size_t, Heard>> heard_;
+  std::size_t looked_at_ = 0;
 };
 
 inline void RefuseForCores(Wire* node, TaskId task) {
@@ -72,6 +83,17 @@
             [](proto::Writer& w) { w.Add(Cause::kFull).Add(Code::kNote, std::string_view("cpu_full")); });
 }
 
+// In which order the bytes of two events arrive that the program finds in one turn.
+enum class Order { kClientFirst, kOtherFirst };
+
+// A run of the test for each.
+inline Order EachOrder() {
+  Order order = Order::kClientFirst;
+  SUBCASE("the client's bytes arrive first") { order = Order::kClientFirst; }
+  SUBCASE("the client's bytes arrive last") { order = Order::kOtherFirst; }
+  return order;
+}
+
 struct CrossingSite : Site {
   NodeRecord at_first{&first}, at_second{&second};
   std::optional<Wire> feed;
@@ -140,6 +162,16 @@
   }
   // The time within which a client that left may still be overtaken by an attempt has passed.
   static void LetGraceOfLeavingPass() { std::this_thread::sleep_for(std::chrono::milliseconds(150)); }
+  // The program finds both in the kernel at once, when the client has said so for longer than 0.1 s.
+  template <typename Client, typename Other>
+  void InOneTurn(Order order, Client client_says, Other other_says) {
+    program->Pause();
+    if (order == Order::kClientFirst) client_says();
+    other_says();
+    if (order == Order::kOtherFirst) client_says();
+    LetGraceOfLeavingPass();
+    program->Resume();
+  }
   // Another client's request reaches a node: what the program wrote before that has arrived as well.
   void Fence(TaskId task = kOther) {
     Wire client = program->Owner();
