Let the released one of two requests be the one that finds the warm connection

Both refusals are found in one turn, and the last to arrive is looked at first: in the order before it was the other request that took the connection that is up, and the released one only dialled, so that its set-up was never written and the test passed. In this order it fails on the program as it is, where the client's release arrived first: the second set-up is written.

--- a/tests/crossing_client_gone_test.cpp
+++ b/tests/crossing_client_gone_test.cpp
@@ -189,8 +189,8 @@
   InOneTurn(
       EachOrder(), [&] { Leave(&client, Leaving::kRelease); },
       [&] {
+        RefuseForCores(&other, kFourth);  // the last to arrive is the first to be looked at
         RefuseForCores(&one, kTask);
-        RefuseForCores(&other, kFourth);
       });
   at_second.AwaitSetUp(kFourth).Answer(kFourth, "there");
   CHECK(client.Hear(Type::kAnswer, kFourth).description == "there");
