--- a/src/roles/serving.cpp
+++ b/src/roles/serving.cpp
@@ -70,6 +70,7 @@
     Log("sites: the plan of %s is followed", files_.sites.c_str());
   }
   front_.SetMost(ForOthers(config_.sockets));
+  pool_.SetClients([this] { return front_.size(); });
   if (config_.admin) engine_.Follow(&rotation_);
   OpenExchange();
   bulletin_.TellKnown(config_.known);
@@ -200,6 +201,7 @@
     bulletin_.MoveTo(fresh.bulletin, fresh.known);
     pool_.SetTimes({fresh.dial_timeout, fresh.keepalive});
     front_.SetMost(ForOthers(fresh.sockets));
+    pool_.SetSockets(ForOthers(fresh.sockets));
     ++counters.reloads;
     Log("configuration read again, bulletin at %s, classes: %d new, %d changed, %d dropped",
         AddressText(fresh.bulletin).c_str(), change.added, change.changed, change.dropped);
