--- a/tests/acceptance_test.py
+++ b/tests/acceptance_test.py
@@ -108,6 +108,11 @@
     check("days in real time come last and alone", order[2:],
           ["begin calm", "end calm", "begin upgrade", "end upgrade"])
 
+    table = subprocess.run([sys.executable, root / ".ci/acceptance_table.py", tree / "logs-acceptance/plays.tsv"],
+                           capture_output=True, text=True, check=True).stdout.splitlines()
+    check("the table's row of a day", table[5], "| hill | roll+mass | 30 | abc | 1-6 | 7 | 5 | 0.00 | 0.42 |")
+    check("the table's rows of what did not pass", sum("| roll+mass | 30 |" in line for line in table[8:]), 5)
+
     code, said = run(tree, "--days", "calm", bench="no-bench")
     check("without a bench", (code, "the operators' bench" in said), (2, True))
     (tree / "sites/wire.json").unlink()
