Lead a process through its phases by one function, and lose nothing at a close

Seen by reading, then forced with scripted peers on real connections:

- At a planned restart Serving::LookWhetherOver ended the process once nothing was owed and all was written.
Nobody looked at bytes unread in the kernel, at a set-up half read, or at the listener's queue, which stayed open and took connections until the exit reset them.
An end that waited for an owner kept the process for 30 s with nobody connected.
- Signals were handled from the end of Serving's constructor on: SIGTERM, SIGHUP or SIGUSR1 during the start killed the process.
Front::Prune made room by closing connections in the middle of a first set-up or of reading answers, and asked the kernel about each connection once for each that came.
After our close the socket went after 0.4 s, also while its peer was still reading.
- A test at the owners' address was passed with no node listed, and the operators' address said no with discovery down while the owners' one said yes.
- activate after SIGTERM was answered with a yes.

Now an enum of phases with one transition function (src/roles/lifecycle.h draws it) takes the place of two times and the front's door: serve the last arrivals, accept the listener's whole queue and close it, settle until nothing is owed, unread, half read or unsent, shut our sides, end. Peers that stop in the middle keep the process for 2 s at most after the last request is answered, which ends before SIGKILL may come. Signals are blocked from the first line of Serve until their handlers are in place; the exchange's thread blocks all, as before. Whether the process can serve is decided in one place for both addresses: a node is known, and one that takes over has heard the list, or 1.5 s are over. Closing looks at what lies unread, once, so that it stays bounded. Shutdown and hand-over have files of their own.

Checked and found sound, with tests: bytes in the turn of SIGTERM, a connection not accepted at SIGTERM, a second SIGTERM, SIGHUP with a bad file after or in the turn of SIGTERM, drain and SIGTERM in both orders, new settings then a drain, our close crossing a set-up or the owner's close, FIN, RST and half close with requests out.

--- a/src/admin/calls.cpp
+++ b/src/admin/calls.cpp
@@ -122,7 +122,11 @@
   if (*path == "/v1/cluster-manager/drain" || *path == "/v1/cluster-manager/activate") {
     if (!writes) return WrongMethod(method, *path, kWrite);
     const bool drain = path->ends_with("drain");
-    drain ? operations->Drain() : operations->Activate();
+    if (drain) {
+      operations->Drain();
+    } else if (!operations->Activate()) {
+      return Say(503, "this process is stopping, since SIGTERM, and serves nobody new; call the next one");
+    }
     return {200, Text({{"draining", drain}}), nullptr};
   }
   const std::size_t slash = path->rfind('/');
--- a/src/admin/operations.h
+++ b/src/admin/operations.h
@@ -13,7 +13,7 @@
   virtual bool Suspend(std::string_view agent) = 0;  // POST /v1/agents/ID/suspend; false: nobody has that id
   virtual bool Resume(std::string_view agent) = 0;   // POST /v1/agents/ID/resume; likewise
   virtual void Drain() = 0;                          // POST /v1/cluster-manager/drain
-  virtual void Activate() = 0;                       // POST /v1/cluster-manager/activate
+  virtual bool Activate() = 0;                       // POST /v1/cluster-manager/activate; false: it stops
 
  protected:
   ~Operations() = default;
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -15,12 +15,14 @@
 
 constexpr Time kSweep = 250 * kMs;
 // Bad clients are owed a word or a close within 3 s of connecting.
-constexpr Time kFirstWord = 2 * kSecond;  // without anything that usual owners send
-constexpr Time kUnfinished = 1500 * kMs;  // of a message that is not whole
-constexpr Time kIdle = 6 * kSecond;       // owners close what carries no task after 4 s
-constexpr Time kFresh = 100 * kMs;        // its first message may be on its way
-constexpr Time kLinger = 400 * kMs;       // for the other side to read what was written last
-constexpr Time kAllResets = 10 * kMs;     // of owners that reset together
+constexpr Time kFirstWord = 2 * kSecond;     // without anything that usual owners send
+constexpr Time kFirstWordMost = 2500 * kMs;  // a message has begun by then; with a look it is within 3 s
+constexpr Time kUnfinished = 1500 * kMs;     // of a message that is not whole
+constexpr Time kIdle = 6 * kSecond;          // owners close what carries no task after 4 s
+constexpr Time kFresh = 100 * kMs;           // its first message may be on its way
+constexpr Time kLinger = 400 * kMs;          // for the other side to read what was written last
+constexpr Time kLingerMost = 2 * kSecond;    // and where it reads slowly
+constexpr Time kAllResets = 10 * kMs;        // of owners that reset together
 // While connections are being emptied one is quiet after the first of these, one that has said nothing after
 // the second: operators count one as held from 200 ms on.
 constexpr Time kQuiet = 20 * kMs, kQuietFirst = 120 * kMs;
@@ -63,22 +65,26 @@
 // Guards against connections by the hundred that say nothing, or ask once and stay: the descriptors that
 // agents and the bulletin need are never given to owners, who hold no more than a third of all by themselves.
 // The first to go is who leaves already, then who has said nothing for longest, then who has had nothing open
-// for longest, then who has just come. Whose set-up has come and was not read yet does not go.
+// for longest, then who has just come, or is in the middle of a message or of reading. Whose set-up has come
+// and was not read yet does not go.
 void Front::Prune() {
   const Time now = loop_->Now();
   constexpr int kFreshOne = 3, kStays = 4;
   const auto rank = [&](const Owner& owner) -> std::pair<int, Time> {
     if (owner.leaving > 0) return {0, owner.leaving};
+    const Connection& connection = *owner.connection;
+    if (!owner.open.empty()) return {kStays, connection.last_traffic};
+    if (connection.unfinished_since > 0 || !connection.flushed()) return {kFreshOne, owner.since};
     if (!owner.spoke) return {now - owner.since < kFresh ? kFreshOne : 1, owner.since};
-    return {owner.open.empty() ? 2 : kStays, owner.connection->last_traffic};
+    return {2, connection.last_traffic};
   };
   Handle victim = 0, newest = 0;
   std::pair<int, Time> least{kStays, 0};
   Time last = 0;
-  owners_.ForEach([&](Handle handle, const Owner& owner) {
+  owners_.ForEach([&](Handle handle, Owner& owner) {
     if (owner.since >= last) std::tie(last, newest) = std::tie(owner.since, handle);
     const std::pair<int, Time> its = rank(owner);
-    if (its >= least || (its.first > 0 && owner.connection->Unread())) return;
+    if (its >= least || (its.first > 0 && Waits(&owner))) return;
     least = its;
     victim = handle;
   });
@@ -88,6 +94,15 @@
   Remove(victim);
 }
 
+// Something of its lies unread. Guards against a system call for each connection and each of many that come
+// in one turn: what lies unread is read in a later one.
+bool Front::Waits(Owner* owner) {
+  if (owner->waited_in == loop_->turn()) return true;
+  if (!owner->connection->Unread()) return false;
+  owner->waited_in = loop_->turn();
+  return true;
+}
+
 void Front::Set(Door door) {
   door_ = door;
   if (door == Door::kHandingOver) listener_.Close();
@@ -122,7 +137,7 @@
   owners_.ForEach([&](Handle handle, const Owner& owner) {
     const Connection& connection = *owner.connection;
     if (owner.leaving > 0 || !owner.open.empty() || connection.unfinished_since > 0) return;
-    if (handle == for_ends_) return;
+    if (handle == for_ends_ || !connection.flushed()) return;
     if (now - connection.last_traffic < (owner.spoke ? kQuiet : kQuietFirst) || connection.Unread()) return;
     quiet.push_back(handle);
   });
@@ -130,19 +145,37 @@
   quiet_sweep_ = loop_->After(kQuietSweep, [this] { CloseQuiet(); });
 }
 
+// Its side is closed, and it has had the time to read what was written last.
+bool Front::HasLeft(const Owner& owner, Time now) {
+  if (owner.leaving == 0) return false;
+  const Connection& connection = *owner.connection;
+  if (connection.flushed()) return now - owner.leaving >= kLinger;
+  return now - connection.last_traffic >= kLinger || now - owner.leaving >= kLingerMost;
+}
+
+// To be closed by the table of bad input. Guards against a message that crosses the close: once, the next
+// look decides, as by then what lies unread has been read.
+bool Front::IsOverdue(Owner* owner, Time now) {
+  const Connection& connection = *owner->connection;
+  const Time unfinished = connection.unfinished_since, connected = now - owner->since;
+  const bool in_message = unfinished > 0 && connected < kFirstWordMost;
+  // Where it is slow to read, the rest of its message may wait for us and not for it.
+  const bool unfinished_for_long = unfinished > 0 && connection.flushed() && now - unfinished >= kUnfinished;
+  const bool overdue = unfinished_for_long || (!owner->spoke && connected >= kFirstWord && !in_message) ||
+                       (owner->open.empty() && now - connection.last_traffic >= kIdle);
+  if (!overdue) {
+    owner->passed_over = false;
+    return false;
+  }
+  return std::exchange(owner->passed_over, true) || !connection.Unread();
+}
+
 void Front::Sweep() {
   const Time now = loop_->Now();
   std::vector<Handle> left, late;
-  owners_.ForEach([&](Handle handle, const Owner& owner) {
-    const Time unfinished = owner.connection->unfinished_since;
-    if (owner.leaving > 0) {
-      if (now - owner.leaving >= kLinger) left.push_back(handle);
-    } else if ((unfinished > 0 && now - unfinished >= kUnfinished) ||
-               (!owner.spoke && now - owner.since >= kFirstWord) ||
-               (owner.open.empty() && now - owner.connection->last_traffic >= kIdle &&
-                !owner.connection->Unread())) {
-      late.push_back(handle);
-    }
+  owners_.ForEach([&](Handle handle, Owner& owner) {
+    if (HasLeft(owner, now)) left.push_back(handle);
+    if (owner.leaving == 0 && IsOverdue(&owner, now)) late.push_back(handle);
   });
   for (const Handle handle : left) Remove(handle);
   for (const Handle handle : late) Dismiss(handle);
@@ -203,10 +236,17 @@
 
 void Front::OnEnd(Connection& connection, Ending) { Remove(connection.tag); }
 
-bool Front::idle() {
-  bool all = ends_.waiting() == 0;
-  owners_.ForEach([&](Handle, const Owner& owner) { all = all && owner.connection->flushed(); });
-  return all;
+// Where nobody is connected, ends that wait have nobody to be told to.
+bool Front::Settled() {
+  bool settled = true, anybody = false;
+  owners_.ForEach([&](Handle, const Owner& owner) {
+    const Connection& connection = *owner.connection;
+    settled = settled && connection.flushed() && !connection.BackedUp();
+    if (owner.leaving > 0) return;
+    anybody = true;
+    settled = settled && connection.unfinished_since == 0 && !connection.Unread();
+  });
+  return settled && (ends_.waiting() == 0 || !anybody);
 }
 
 void Front::Finish() {
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -27,6 +27,7 @@
   // How many descriptors the process may hold; owners get five eighths of them, agents most of the rest.
   void SetMost(int sockets) { most_ = static_cast<std::size_t>(std::max(sockets * 5 / 8, 1)); }
   // What the door is like for owners.
+  //   kStarting    tests fail, all else is as with kOpen
   //   kOpen        tests are passed, connections stay as long as owners keep them
   //   kEmptying    by an operator: tests fail, a connection is closed once it is quiet; who comes is served
   //   kHandingOver another process serves at this address from now on: nobody is accepted here any more,
@@ -34,12 +35,16 @@
   //                are passed (the cluster manager is ready, if not by this process), quiet connections
   //                closed
   //   kLeaving     a planned restart: tests fail, all else goes on until Finish()
-  enum class Door { kOpen, kEmptying, kHandingOver, kLeaving };
+  enum class Door { kStarting, kOpen, kEmptying, kHandingOver, kLeaving };
   void Set(Door door);
   Door door() const { return door_; }
   void Resume() { listener_.Resume(); }  // an inherited socket: accepts from now on
-  bool idle();                           // nothing is left to write
-  void Finish();                         // closes its side of every connection
+  // Accepts all that had connected by the time of the call; false where descriptors ran out before.
+  bool AcceptAll() { return listener_.AcceptAll(); }
+  void StopListening() { listener_.Close(); }
+  // Nothing is left to read, to finish reading, to write or to be taken by a peer, and no end waits for one.
+  bool Settled();
+  void Finish();  // closes its side of every connection
   std::size_t size() const { return owners_.size(); }
   std::size_t ends() const { return ends_.size(); }
   std::vector<std::pair<TaskId, Over>> OwedEndsLeft(bool all) const;  // that wait; all: or may be unread
@@ -53,12 +58,14 @@
  private:
   struct Owner {
     std::unique_ptr<Connection> connection;
-    Time since = 0;            // it connected
-    std::vector<TaskId> open;  // set-ups without an answer
-    bool trusted = false;      // a task of its was served
-    bool spoke = false;        // sent something that usual owners send
-    bool confirms = false;     // has said that it heard a release
-    Time leaving = 0;          // its side is closed, since then
+    Time since = 0;               // it connected
+    std::vector<TaskId> open;     // set-ups without an answer
+    bool trusted = false;         // a task of its was served
+    bool spoke = false;           // sent something that usual owners send
+    bool confirms = false;        // has said that it heard a release
+    Time leaving = 0;             // its side is closed, since then
+    bool passed_over = false;     // by a look that would have closed it, but for what lay unread
+    std::uint64_t waited_in = 0;  // the turn of the loop in which something of its lay unread
   };
   enum class Verdict { kTaken, kRejected, kUnreadable };
 
@@ -78,6 +85,9 @@
   void Dismiss(Handle handle);
   void Remove(Handle handle);
   void Prune();
+  bool Waits(Owner* owner);
+  static bool HasLeft(const Owner& owner, Time now);
+  static bool IsOverdue(Owner* owner, Time now);
   void CloseQuiet();
   void KeepOneForEnds();
   void Sweep();
@@ -90,7 +100,7 @@
   SlotTable<Owner> owners_;
   OwedEnds ends_;
   bool owed_soon_ = false;  // SendOwed is due
-  Door door_ = Door::kOpen;
+  Door door_ = Door::kStarting;
   Handle quiet_sweep_ = 0;  // CloseQuiet is due
   Handle for_ends_ = 0;     // kept while others are closed; takes nothing new
   Listener listener_;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -78,15 +78,21 @@
   return address;
 }
 
+Listener::Accepting Listener::AcceptOne() {
+  const int accepted = sys::Accept(socket_, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (accepted >= 0) {
+    accepted_(accepted);
+    return Accepting::kOne;
+  }
+  if (errno == EINTR || errno == ECONNABORTED) return Accepting::kOne;
+  return errno == EAGAIN || errno == EWOULDBLOCK ? Accepting::kNone : Accepting::kFailed;
+}
+
 void Listener::Accept() {
   for (int i = 0; i < kAcceptsPerTurn; ++i) {
-    const int accepted = sys::Accept(socket_, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (accepted >= 0) {
-      accepted_(accepted);
-      continue;
-    }
-    if (errno == EINTR || errno == ECONNABORTED) continue;
-    if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+    const Accepting result = AcceptOne();
+    if (result == Accepting::kOne) continue;
+    if (result == Accepting::kNone) return;
     // Guards against running out of descriptors: what waits in the backlog is not lost, and a listener that
     // stays readable must not spin.
     ++counters.accept_failed;
@@ -97,4 +103,14 @@
   }
 }
 
+bool Listener::AcceptAll() {
+  if (socket_ < 0) return true;
+  // The queue held no more than this at the time of the call.
+  for (int i = 0; i <= kBacklog; ++i) {
+    const Accepting result = AcceptOne();
+    if (result != Accepting::kOne) return result == Accepting::kNone;
+  }
+  return true;
+}
+
 }  // namespace willowrail
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -25,10 +25,14 @@
 
   sockaddr_in address() const;
   void Resume();  // accepts from now on
-  void Close();   // accepts no more; where others have the socket too, its backlog is theirs
+  // Accepts all that had connected by the time of the call; false where descriptors ran out before.
+  bool AcceptAll();
+  void Close();  // accepts no more; where others have the socket too, its backlog is theirs
 
  private:
   void Watch(int priority);
+  enum class Accepting { kOne, kNone, kFailed };
+  Accepting AcceptOne();
   void Accept();
 
   Loop* loop_;
--- /dev/null
+++ b/src/roles/handing_over.cpp
@@ -0,0 +1,98 @@
+// The hand-over of a cluster manager from one process to the next: what the old one passes on, and what the
+// new one makes of it.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "net/log.h"
+#include "proto/message.h"
+#include "roles/serving.h"
+#include "structures/block_pool.h"
+
+namespace willowrail {
+namespace {
+
+constexpr Time kLook = 10 * kMs;
+// An old process is killed after the longest deadline, or the first of these, and the second; it has answered
+// all by the third before that.
+constexpr Time kOldMost = 5 * kSecond, kOldLast = 700 * kMs, kOldMargin = 400 * kMs;
+
+}  // namespace
+
+// Another process has the socket and accepts from now on: nothing new comes here but on connections that are
+// open.
+void Serving::BeginToHandOver() {
+  LogStop();
+  front_.Set(Front::Door::kHandingOver);
+  Time longest = 0;
+  for (const passbridge::ClassSettings& c : engine_.classes().settings().classes)
+    longest = std::max(longest, c.deadline);
+  stop_by_ = loop_.Now() + std::min(longest, kOldMost) + kOldLast;
+  engine_.Close(stop_by_ - kOldMargin);
+  LookWhetherHandedOver();
+}
+
+// The old process is gone as soon as it has answered all and nobody is connected: only then do owners hand
+// its tasks to the new one. What it has been told and could tell nobody it passes on.
+void Serving::LookWhetherHandedOver() {
+  Pass(false);
+  const bool empty = engine_.owed() == 0 && front_.size() == 0;
+  if (empty || loop_.Now() >= stop_by_) {
+    Pass(true);
+    Advance(LifeEvent::kSettled);
+  } else {
+    loop_.After(kLook, [this] { LookWhetherHandedOver(); });
+  }
+}
+
+// Ends as they come, so that the new process can tell them; the tasks at the last moment, when all that is on
+// its way has either come to stand or not.
+void Serving::Pass(bool tasks) {
+  if (!exchange_) return;
+  Handover handover;
+  const passbridge::Settings& settings = engine_.classes().settings();
+  if (tasks) {
+    engine_.ForEachStanding(
+        [&](TaskId id, const passbridge::Task& task, const Passage& passage, NodeId node) {
+          const std::size_t tenant = static_cast<std::size_t>(task.tenant);
+          handover.tasks.push_back({id, node, engine_.classes().NameOf(task.class_index),
+                                    tenant < settings.tenants.size() ? settings.tenants[tenant].name : "",
+                                    task, std::string(passage.bytes.view()), passage.class_end});
+        });
+  }
+  for (const auto& [id, over] : front_.OwedEndsLeft(tasks))
+    handover.ends.push_back({id, PassedEnd::kAnyNode, over});
+  for (const StrayEnds::End& end : engine_.stray_ends().all()) {
+    handover.ends.push_back({end.task, end.node, end.ended ? Over::kEnded : Over::kCut});
+  }
+  std::string text = Write(handover);
+  if (text == passed_) return;
+  exchange_->Ask(kHandoverFile, ++passes_, [text](const auto&) { return text; });
+  passed_ = std::move(text);
+}
+
+void Serving::TakeOver(const Handover& handover) {
+  std::size_t taken = 0;
+  const passbridge::Settings& settings = engine_.classes().settings();
+  for (const PassedTask& each : handover.tasks) {
+    SetUp s{each.id, 0, each.task, {}, each.node};
+    s.task.class_index = engine_.classes().ForStanding(each.class_name);
+    const auto tenant = std::ranges::find(settings.tenants, each.tenant, &passbridge::TenantSettings::name);
+    s.task.tenant =
+        tenant == settings.tenants.end() ? 0 : static_cast<int>(tenant - settings.tenants.begin());
+    s.passage.bytes = Blocks().Make(each.passage.size());
+    s.passage.bytes.Append(each.passage);
+    s.passage.class_end = each.class_end;
+    taken += engine_.OnSetUp(std::move(s));
+  }
+  std::size_t ends = 0;
+  for (const PassedEnd& end : handover.ends) {
+    if (!told_.insert(end.id).second) continue;
+    ++ends;
+    engine_.ToldOver(end.node, end.id, end.over, end.node == PassedEnd::kAnyNode);
+  }
+  if (handover.tasks.empty() && ends == 0) return;
+  Log("taken over: %zu of %zu tasks, %zu ends", taken, handover.tasks.size(), ends);
+}
+
+}  // namespace willowrail
--- a/src/roles/serve.cpp
+++ b/src/roles/serve.cpp
@@ -1,12 +1,29 @@
 #include "roles/serve.h"
 
+#include <csignal>
+
 #include "config/config.h"
 #include "roles/serving.h"
 
 namespace willowrail {
+namespace {
+
+// Guards against a signal in the middle of the start, which would kill the process: it waits until there is
+// somebody to handle it. Threads that begin meanwhile keep all signals blocked.
+void SetBlocked(bool blocked) {
+  sigset_t handled;
+  sigemptyset(&handled);
+  for (const int number : Serving::kSignals) sigaddset(&handled, number);
+  pthread_sigmask(blocked ? SIG_BLOCK : SIG_UNBLOCK, &handled, nullptr);
+}
+
+}  // namespace
 
 int Serve(const Files& files) {
-  Serving(files, ConfigFromEnvironment()).Run();
+  SetBlocked(true);
+  Serving serving(files, ConfigFromEnvironment());
+  SetBlocked(false);
+  serving.Run();
   return 0;
 }
 
--- a/src/roles/serving.cpp
+++ b/src/roles/serving.cpp
@@ -25,17 +25,10 @@
 
 namespace {
 
-// After SIGTERM new connections come for up to 0.4 s and requests for 0.2 s more; all of them are served.
-constexpr Time kLastArrivals = 750 * kMs;
-constexpr Time kStopLook = 10 * kMs;
-constexpr Time kLastWords = 200 * kMs;  // for owners to read what was written last, before the sockets close
-// Before it takes over, a process waits so long to hear from the list. Guards against waiting for a list that
-// is out of reach: what was known at the start serves as well.
+// A process waits so long for a list that it can serve by. Guards against waiting for a list that is out of
+// reach: nobody else may serve its owners meanwhile.
 constexpr Time kListMost = 1500 * kMs;
 constexpr Time kReadyLook = 5 * kMs;
-// An old process is killed after the longest deadline, or the first of these, and the second; it has answered
-// all by the third before that.
-constexpr Time kOldMost = 5 * kSecond, kOldLast = 700 * kMs, kOldMargin = 400 * kMs;
 constexpr std::chrono::milliseconds kFollow{25};  // of what another process of this cluster manager was told
 
 std::uint64_t Seeded(std::uint64_t seed) { return hash_seed = seed; }
@@ -74,15 +67,15 @@
   OpenExchange();
   bulletin_.TellKnown(config_.known);
   loop_.OnSignal(SIGHUP, [this] { Reload(); });
-  loop_.OnSignal(SIGTERM, [this] { Stop(); });
-  loop_.OnSignal(SIGINT, [this] { Stop(); });
+  loop_.OnSignal(SIGTERM, [this] { Advance(LifeEvent::kTerminate); });
+  loop_.OnSignal(SIGINT, [this] { Advance(LifeEvent::kTerminate); });
   loop_.OnSignal(SIGUSR1, [this] { Print(); });
   Log("%s listens on %s", config_.name.c_str(), AddressText(front_.address()).c_str());
   if (config_.admin) {
     admin_.emplace(&loop_, *config_.admin, this);
     Log("operators are listened to on %s", AddressText(admin_->address()).c_str());
   }
-  if (inherited()) BeginWhenReady();
+  Enter(Phase::kStarting);
 }
 
 int Serving::ForOthers(int sockets) const {
@@ -100,21 +93,63 @@
 }
 
 // --- Beginning -------------------------------------------------------------------------------------------
-bool Serving::Ready() const {
-  if (stop_from_ > 0 || front_.door() != Front::Door::kOpen) return false;
-  return bulletin_.live() || loop_.now() - started_ >= kListMost;
+bool Serving::Advance(LifeEvent event) {
+  const Phase next = NextPhase(phase_, event, inherited());
+  if (next == phase_) return false;
+  phase_ = next;
+  Enter(next);
+  return true;
 }
 
-// An inherited socket has a backlog that somebody else serves: nothing is taken from it before its time.
-void Serving::BeginWhenReady() {
-  if (stop_from_ > 0) return;
-  if (Ready()) {
-    front_.Resume();
-  } else {
-    loop_.After(kReadyLook, [this] { BeginWhenReady(); });
+// What begins with a phase. It may lead on to the next at once.
+void Serving::Enter(Phase phase) {
+  switch (phase) {
+    case Phase::kStarting:
+      front_.Set(Front::Door::kStarting);
+      LookWhetherReady();
+      break;
+    case Phase::kServing:
+      front_.Set(Front::Door::kOpen);
+      // An inherited socket has a backlog that somebody else serves: nothing is taken from it before.
+      front_.Resume();
+      break;
+    case Phase::kDraining:
+      Log("drained by an operator: %zu requests to settle, %zu tasks stand", engine_.owed(),
+          engine_.Standing());
+      front_.Set(Front::Door::kEmptying);
+      break;
+    case Phase::kLastArrivals:
+      BeginToStop();
+      break;
+    case Phase::kSettling:
+      BeginToSettle();
+      break;
+    case Phase::kLastWords:
+      SayLastWords();
+      break;
+    case Phase::kHandingOver:
+      BeginToHandOver();
+      break;
+    case Phase::kEnded:
+      loop_.Stop();
+      break;
   }
 }
 
+// The one answer for both addresses. What the configuration knows of the list is all that there was at the
+// start, so that a process which is started again can serve by it. One that takes over from another waits
+// until the list is heard: meanwhile that one serves, and knows more.
+bool Serving::CanServe() const {
+  if (loop_.now() - started_ >= kListMost) return true;
+  return bulletin_.size() > 0 && (!inherited() || bulletin_.live());
+}
+
+void Serving::LookWhetherReady() {
+  if (phase_ != Phase::kStarting || (CanServe() && Advance(LifeEvent::kCanServe))) return;
+  loop_.TakeDown(ready_look_);
+  ready_look_ = loop_.After(kReadyLook, [this] { LookWhetherReady(); });
+}
+
 // --- Operators -------------------------------------------------------------------------------------------
 std::string Serving::Figures() const {
   return engine_.figures().Write({.relayed = counters.offers_sent,
@@ -170,22 +205,19 @@
     if (!news.text) continue;
     if (news.file == kRotationFile && config_.admin) {
       for (const NodeId node : rotation_.Read(*news.text, news.written, loop_.Now())) engine_.Rotated(node);
-    } else if (news.file == kHandoverFile && inherited() && stop_from_ == 0) {
+    } else if (news.file == kHandoverFile && inherited() && !IsStopping(phase_)) {
       TakeOver(ReadHandover(*news.text));
     }
   }
 }
 
-void Serving::Drain() {
-  if (stop_from_ > 0 || front_.door() == Front::Door::kEmptying) return;
-  Log("drained by an operator: %zu requests to settle, %zu tasks stand", engine_.owed(), engine_.Standing());
-  front_.Set(Front::Door::kEmptying);
-}
+void Serving::Drain() { Advance(LifeEvent::kDrain); }
 
-void Serving::Activate() {
-  if (front_.door() != Front::Door::kEmptying) return;
-  Log("active again, by an operator");
-  front_.Set(Front::Door::kOpen);
+bool Serving::Activate() {
+  if (IsStopping(phase_)) return false;
+  if (phase_ == Phase::kDraining) Log("active again, by an operator");
+  Advance(LifeEvent::kActivate);
+  return true;
 }
 
 // --- Signals ---------------------------------------------------------------------------------------------
@@ -218,89 +250,6 @@
   }
 }
 
-void Serving::Stop() {
-  if (stop_from_ > 0) return;
-  Log("stopping: %zu requests to settle, %zu tasks stand", engine_.owed(), engine_.Standing());
-  // Where another process has the socket it accepts from now on, and nothing new comes here but on
-  // connections that are open.
-  stop_from_ = loop_.Now() + (inherited() ? 0 : kLastArrivals);
-  front_.Set(inherited() ? Front::Door::kHandingOver : Front::Door::kLeaving);
-  if (inherited()) {
-    Time longest = 0;
-    for (const passbridge::ClassSettings& c : engine_.classes().settings().classes)
-      longest = std::max(longest, c.deadline);
-    stop_by_ = loop_.Now() + std::min(longest, kOldMost) + kOldLast;
-    engine_.Close(stop_by_ - kOldMargin);
-  }
-  LookWhetherOver();
-}
-
-// An old process that hands over is gone as soon as it has answered all and nobody is connected: only then do
-// owners hand its tasks to the new one. What it has been told and could tell nobody it passes on.
-void Serving::LookWhetherOver() {
-  if (inherited()) Pass(false);
-  const bool settled = loop_.Now() >= stop_from_ && engine_.owed() == 0;
-  if (inherited() && ((settled && front_.size() == 0) || loop_.Now() >= stop_by_)) {
-    Pass(true);
-    loop_.Stop();
-  } else if (!inherited() && settled && front_.idle()) {
-    front_.Finish();
-    loop_.After(kLastWords, [this] { loop_.Stop(); });
-  } else {
-    loop_.After(kStopLook, [this] { LookWhetherOver(); });
-  }
-}
-
-// Ends as they come, so that the new process can tell them; the tasks at the last moment, when all that is on
-// its way has either come to stand or not.
-void Serving::Pass(bool tasks) {
-  if (!exchange_) return;
-  Handover handover;
-  const passbridge::Settings& settings = engine_.classes().settings();
-  if (tasks) {
-    engine_.ForEachStanding(
-        [&](TaskId id, const passbridge::Task& task, const Passage& passage, NodeId node) {
-          const std::size_t tenant = static_cast<std::size_t>(task.tenant);
-          handover.tasks.push_back({id, node, engine_.classes().NameOf(task.class_index),
-                                    tenant < settings.tenants.size() ? settings.tenants[tenant].name : "",
-                                    task, std::string(passage.bytes.view()), passage.class_end});
-        });
-  }
-  for (const auto& [id, over] : front_.OwedEndsLeft(tasks))
-    handover.ends.push_back({id, PassedEnd::kAnyNode, over});
-  for (const StrayEnds::End& end : engine_.stray_ends().all()) {
-    handover.ends.push_back({end.task, end.node, end.ended ? Over::kEnded : Over::kCut});
-  }
-  std::string text = Write(handover);
-  if (text == passed_) return;
-  exchange_->Ask(kHandoverFile, ++passes_, [text](const auto&) { return text; });
-  passed_ = std::move(text);
-}
-
-void Serving::TakeOver(const Handover& handover) {
-  std::size_t taken = 0;
-  const passbridge::Settings& settings = engine_.classes().settings();
-  for (const PassedTask& each : handover.tasks) {
-    SetUp s{each.id, 0, each.task, {}, each.node};
-    s.task.class_index = engine_.classes().ForStanding(each.class_name);
-    const auto tenant = std::ranges::find(settings.tenants, each.tenant, &passbridge::TenantSettings::name);
-    s.task.tenant =
-        tenant == settings.tenants.end() ? 0 : static_cast<int>(tenant - settings.tenants.begin());
-    s.passage.bytes = Blocks().Make(each.passage.size());
-    s.passage.bytes.Append(each.passage);
-    s.passage.class_end = each.class_end;
-    taken += engine_.OnSetUp(std::move(s));
-  }
-  std::size_t ends = 0;
-  for (const PassedEnd& end : handover.ends) {
-    if (!told_.insert(end.id).second) continue;
-    ++ends;
-    engine_.ToldOver(end.node, end.id, end.over, end.node == PassedEnd::kAnyNode);
-  }
-  if (handover.tasks.empty() && ends == 0) return;
-  Log("taken over: %zu of %zu tasks, %zu ends", taken, handover.tasks.size(), ends);
-}
-
 void Serving::Print() {
   counters.Print(stderr);
   sys::calls.Print(stderr);
--- a/src/roles/serving.h
+++ b/src/roles/serving.h
@@ -1,6 +1,7 @@
 // The parts of a cluster manager that serves, wired to one another; what signals and operators ask of it.
 #pragma once
 
+#include <csignal>
 #include <memory>
 #include <optional>
 #include <set>
@@ -17,6 +18,7 @@
 #include "front/front.h"
 #include "handover/handover.h"
 #include "net/loop.h"
+#include "roles/lifecycle.h"
 #include "roles/serve.h"
 #include "rotation/rotation.h"
 #include "sites/sites.h"
@@ -25,25 +27,36 @@
 
 class Serving final : public Operations {
  public:
+  static constexpr int kSignals[] = {SIGHUP, SIGTERM, SIGINT, SIGUSR1};  // handled from the constructor on
+
   // Throws std::exception, saying what is wrong, where it cannot begin.
   Serving(Files files, Config config);
   void Run();  // until a signal has ended it
 
-  bool Ready() const override;
+  bool Ready() const override { return phase_ == Phase::kServing; }
   std::string Figures() const override;
   bool Suspend(std::string_view agent) override;
   bool Resume(std::string_view agent) override;
   void Drain() override;
-  void Activate() override;
+  bool Activate() override;
 
  private:
   bool inherited() const { return config_.listen_socket >= 0; }
   // Descriptors for all but operators, who have theirs beside them.
   int ForOthers(int sockets) const;
-  void BeginWhenReady();
+  bool Advance(LifeEvent event);  // false where it means nothing now
+  void Enter(Phase phase);
+  bool CanServe() const;
+  void LookWhetherReady();
+  void LogStop();
+  void BeginToStop();
+  void CloseListener(Time at_the_latest);
+  void BeginToSettle();
+  void LookWhetherSettled();
+  void SayLastWords();
+  void BeginToHandOver();
+  void LookWhetherHandedOver();
   void Reload();
-  void Stop();
-  void LookWhetherOver();
   void Pass(bool tasks);
   void TakeOver(const Handover& handover);
   void Rotate(const std::string& agent, bool out);
@@ -56,7 +69,10 @@
   const Config config_;
   Loop loop_;
   const Time started_ = loop_.Now();
-  Time stop_from_ = 0, stop_by_ = 0;  // 0: it goes on
+  Phase phase_ = Phase::kStarting;  // Advance alone changes it
+  Handle ready_look_ = 0;
+  Time peers_until_ = 0;  // kSettling: the last moment for peers
+  Time stop_by_ = 0;      // kHandingOver: the last moment of all
   sites::Deployment deployment_;
   std::optional<sites::Sites> sites_;
   Rotation rotation_{NodeOf};
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -32,12 +32,15 @@
   bool Suspend(std::string_view agent) override { return Note("suspend ", agent); }
   bool Resume(std::string_view agent) override { return Note("resume ", agent); }
   void Drain() override { said.push_back("drain"); }
-  void Activate() override { said.push_back("activate"); }
+  bool Activate() override {
+    said.push_back("activate");
+    return !stopping;
+  }
   bool Note(std::string what, std::string_view agent) {
     said.push_back(what.append(agent));
     return agent != "nobody";
   }
-  bool ready = true;
+  bool ready = true, stopping = false;
   std::vector<std::string> said;
 };
 
@@ -165,6 +168,8 @@
         R"({"draining":false})");
   CHECK(desk.operations.said ==
         std::vector<std::string>{"suspend s-1", "resume s-1/\xc3\xa9", "drain", "activate"});
+  desk.operations.stopping = true;
+  CHECK(Status(Call(&desk, Whole("POST /v1/cluster-manager/activate"))) == 503);
   CHECK(desk.Until([&] { return desk.admin.size() == 0; }));
 }
 
