--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -21,7 +21,7 @@
 constexpr Time kIdle = 6 * kSecond;          // owners close what carries no task after 4 s
 constexpr Time kFresh = 100 * kMs;           // its first message may be on its way
 constexpr Time kLinger = 400 * kMs;          // for the other side to read what was written last
-constexpr Time kLingerMost = 2 * kSecond;    // and where it reads slowly
+constexpr Time kLingerMost = 2 * kSecond;    // and where not all has left yet
 constexpr Time kAllResets = 10 * kMs;        // of owners that reset together
 // While connections are being emptied one is quiet after the first of these, one that has said nothing after
 // the second: operators count one as held from 200 ms on.
@@ -149,8 +149,8 @@
 bool Front::HasLeft(const Owner& owner, Time now) {
   if (owner.leaving == 0) return false;
   const Connection& connection = *owner.connection;
-  if (connection.flushed()) return now - owner.leaving >= kLinger;
-  return now - connection.last_traffic >= kLinger || now - owner.leaving >= kLingerMost;
+  if (!connection.flushed()) return now - owner.leaving >= kLingerMost;
+  return now - std::max(owner.leaving, connection.last_traffic) >= kLinger;
 }
 
 // To be closed by the table of bad input. Guards against a message that crosses the close: once, the next
--- a/tests/crossing_client_close_test.cpp
+++ b/tests/crossing_client_close_test.cpp
@@ -55,6 +55,37 @@
   CHECK(steady_clock::now() - connected < milliseconds(3000));
 }
 
+TEST_CASE_FIXTURE(Site, "who reads late is not taken for one who never finishes its message") {
+  Start();
+  Wire owner = program->Owner();
+  owner.Narrow();
+  // More answers than the machine takes: the program stops to read, in the middle of a message as a rule.
+  constexpr TaskId kMany = 500'000;
+  std::string tests;
+  for (TaskId i = 1; i <= kMany; ++i) proto::Writer(&tests, Type::kTest, i).Add(Cause::kTestFailed);
+  owner.Raw(tests);
+  std::this_thread::sleep_for(milliseconds(3000));  // longer than a message may take, with a look and a close
+  for (TaskId i = 1; i <= kMany; ++i) REQUIRE(owner.Hear().task == i);
+}
+
+TEST_CASE_FIXTURE(Site, "a flood of connections costs no system call for each of those that are there") {
+  Start(Settings(), 40);
+  std::vector<Wire> there, flood;
+  for (int i = 0; i < 24; ++i) {
+    there.push_back(program->Owner());
+    there.back().NothingElse();
+  }
+  program->Signal(SIGSTOP);
+  for (Wire& owner : there) owner.Say(Type::kTest, kTask, Cause::kTestFailed);
+  for (int i = 0; i < 64; ++i) flood.push_back(program->Owner());
+  program->Signal(SIGCONT);
+  for (Wire& owner : there) owner.Hear(Type::kTestResult, kTask);
+  program->Counted("owner_connections", 24 + 64);
+  program->Signal(SIGUSR1);
+  const int asked = std::stoi(program->Logged("call ioctl "));
+  CHECK(asked < 10 * (24 + 64));
+}
+
 TEST_CASE_FIXTURE(Site, "a set-up that is half read is not what makes room for others") {
   Start(Settings(), 40);
   Wire owner = program->Owner();
