Wait for the first request of who connected last before a planned restart

Seen: a connection that waited in the listener's queue as it was closed was accepted, and in the same turn all was settled, so that its side was shut before its first set-up could come.

A failed accept is counted also where the whole queue is accepted. A story holds what was sound before: with discovery down a process that takes over a socket serves what waits there.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -20,6 +20,7 @@
 constexpr Time kUnfinished = 1500 * kMs;     // of a message that is not whole
 constexpr Time kIdle = 6 * kSecond;          // owners close what carries no task after 4 s
 constexpr Time kFresh = 100 * kMs;           // its first message may be on its way
+constexpr Time kLastFirst = 200 * kMs;       // as the process leaves: requests come so long after connections
 constexpr Time kLinger = 400 * kMs;          // for the other side to read what was written last
 constexpr Time kLingerMost = 2 * kSecond;    // and where not all has left yet
 constexpr Time kAllResets = 10 * kMs;        // of owners that reset together
@@ -236,14 +237,17 @@
 
 void Front::OnEnd(Connection& connection, Ending) { Remove(connection.tag); }
 
-// Where nobody is connected, ends that wait have nobody to be told to.
+// Where nobody is connected, ends that wait have nobody to be told to. Who has connected just now is waited
+// for, as the first message is on its way.
 bool Front::Settled() {
+  const Time now = loop_->Now();
   bool settled = true, anybody = false;
   owners_.ForEach([&](Handle, const Owner& owner) {
     const Connection& connection = *owner.connection;
     settled = settled && connection.flushed() && !connection.BackedUp();
     if (owner.leaving > 0) return;
     anybody = true;
+    settled = settled && (owner.spoke || now - owner.since >= kLastFirst);
     settled = settled && connection.unfinished_since == 0 && !connection.Unread();
   });
   return settled && (ends_.waiting() == 0 || !anybody);
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -85,7 +85,9 @@
     return Accepting::kOne;
   }
   if (errno == EINTR || errno == ECONNABORTED) return Accepting::kOne;
-  return errno == EAGAIN || errno == EWOULDBLOCK ? Accepting::kNone : Accepting::kFailed;
+  if (errno == EAGAIN || errno == EWOULDBLOCK) return Accepting::kNone;
+  ++counters.accept_failed;
+  return Accepting::kFailed;
 }
 
 void Listener::Accept() {
@@ -95,7 +97,6 @@
     if (result == Accepting::kNone) return;
     // Guards against running out of descriptors: what waits in the backlog is not lost, and a listener that
     // stays readable must not spin.
-    ++counters.accept_failed;
     Log("accept: %s; trying again", std::strerror(errno));
     ev_io_stop(loop_->raw(), &io_);
     retry_ = loop_->After(kPause, [this] { ev_io_start(loop_->raw(), &io_); });
--- a/tests/crossing_shutdown_test.cpp
+++ b/tests/crossing_shutdown_test.cpp
@@ -77,9 +77,15 @@
   Terminate();
   program->Signal(SIGSTOP);
   Wire owner = program->Owner();
-  owner.Raw(SetUpBytes(kTask));
+  bool written = true;
+  SUBCASE("with its set-up") { owner.Raw(SetUpBytes(kTask)); }
+  SUBCASE("with its set-up on the way") { written = false; }
   CHECK_FALSE(owner.Readable(kPastLastArrivals));
   program->Signal(SIGCONT);  // its time to close the listener is over before it can look at it
+  if (!written) {
+    program->Counted("owner_connections", 1);  // accepted, and all else is settled
+    owner.Raw(SetUpBytes(kTask));
+  }
   Wire agent = first.Accept();
   agent.Hear(Type::kSetUp, kTask);
   CHECK_FALSE(owner.Readable(400));  // not even closed: longer than any last words
--- a/tests/crossing_startup_test.cpp
+++ b/tests/crossing_startup_test.cpp
@@ -160,5 +160,16 @@
   CHECK(Get(program.admin_port(), "/v1/readyz").yes());
 }
 
+TEST_CASE_FIXTURE(Operated,
+                  "with discovery down a process that takes over a socket serves what waits there") {
+  bulletin.Close();
+  Wire waits = Owner();
+  waits.Say(Type::kTest, 1, Cause::kTestFailed);
+  lives.push_back(std::make_unique<Program>(Nodes(), bulletin, Settings(), 0, 0,
+                                            Platform{owners.socket(), tmp.string(), true}));
+  CHECK(waits.Hear(Type::kTestResult, 1).cause == 1);
+  CHECK(Get(lives.back()->admin_port(), "/v1/readyz").yes());
+}
+
 }  // namespace
 }  // namespace willowrail::story
