--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -78,18 +78,25 @@
   return address;
 }
 
+Listener::Accepting Listener::AcceptOne() {
+  const int accepted = sys::Accept(socket_, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (accepted >= 0) {
+    accepted_(accepted);
+    return Accepting::kOne;
+  }
+  if (errno == EINTR || errno == ECONNABORTED) return Accepting::kOne;
+  if (errno == EAGAIN || errno == EWOULDBLOCK) return Accepting::kNone;
+  ++counters.accept_failed;
+  return Accepting::kFailed;
+}
+
 void Listener::Accept() {
   for (int i = 0; i < kAcceptsPerTurn; ++i) {
-    const int accepted = sys::Accept(socket_, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (accepted >= 0) {
-      accepted_(accepted);
-      continue;
-    }
-    if (errno == EINTR || errno == ECONNABORTED) continue;
-    if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+    const Accepting result = AcceptOne();
+    if (result == Accepting::kOne) continue;
+    if (result == Accepting::kNone) return;
     // Guards against running out of descriptors: what waits in the backlog is not lost, and a listener that
     // stays readable must not spin.
-    ++counters.accept_failed;
     Log("accept: %s; trying again", std::strerror(errno));
     ev_io_stop(loop_->raw(), &io_);
     retry_ = loop_->After(kPause, [this] { ev_io_start(loop_->raw(), &io_); });
@@ -97,4 +104,14 @@
   }
 }
 
+bool Listener::AcceptAll() {
+  if (socket_ < 0) return true;
+  // The queue held no more than this at the time of the call.
+  for (int i = 0; i <= kBacklog; ++i) {
+    const Accepting result = AcceptOne();
+    if (result != Accepting::kOne) return result == Accepting::kNone;
+  }
+  return true;
+}
+
 }  // namespace willowrail
