Hear a client's release that crosses the close of our side, and read who has gone unread

Seen on reading, beside the tests for clients that leave: after we had closed our side of a connection nothing more was read, so a client's release of a standing task that crossed the close was lost and the task ran on; and a client whose answers waited at 128 KB was not read at all, so that its release and its end lay unseen (the last crossing test that failed). Now what crosses an orderly close is read until the client ends, for 2 s at most: releases count, a set-up does not, as its client sends it again elsewhere. A paused connection whose client has ended is read to the end.

--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -149,9 +149,9 @@
 // Its side is closed, and it has had the time to read what was written last.
 bool Front::HasLeft(const Owner& owner, Time now) {
   if (owner.leaving == 0) return false;
+  if (now - owner.leaving >= kLingerMost) return true;
   const Connection& connection = *owner.connection;
-  if (!connection.flushed()) return now - owner.leaving >= kLingerMost;
-  return now - std::max(owner.leaving, connection.last_traffic) >= kLinger;
+  return connection.flushed() && now - std::max(owner.leaving, connection.last_traffic) >= kLinger;
 }
 
 // To be closed by the table of bad input. Guards against a message that crosses the close: once, the next
@@ -175,6 +175,9 @@
   const Time now = loop_->Now();
   std::vector<Handle> left, late;
   owners_.ForEach([&](Handle handle, Owner& owner) {
+    // Guards against words that nobody reads: of who has gone and left unread what was queued for it.
+    if (owner.connection->paused() && owner.connection->LookAhead() == Incoming::kEnd)
+      owner.connection->ReadToEnd();
     if (HasLeft(owner, now)) left.push_back(handle);
     if (owner.leaving == 0 && IsOverdue(&owner, now)) late.push_back(handle);
   });
@@ -190,14 +193,15 @@
   loop_->After(kSweep, [this] { Sweep(); });
 }
 
-// What it has been answered still reaches it; what is open on it is given up.
-void Front::Dismiss(Handle handle) {
+// What it has been answered still reaches it; what is open on it is given up. The end of a standing task that
+// crosses this is still heard, as no connection owns the task.
+void Front::Dismiss(Handle handle, Connection::Rest rest) {
   Owner* owner = owners_.Get(handle);
   if (owner == nullptr || owner->leaving > 0) return;
   ++counters.owner_dismissed;
   owner->leaving = loop_->Now();
   const std::vector<TaskId> open = std::exchange(owner->open, {});
-  owner->connection->Finish();
+  owner->connection->Finish(rest);
   for (const TaskId id : open) events_->OnAbandoned(id, handle);
 }
 
@@ -225,12 +229,12 @@
   bool malformed = false;
   const std::size_t taken = proto::DecodeAll(data, &malformed, [&](const Message& message) {
     malformed = !Take(connection, message);
-    return !malformed && connection.open() && !connection.finishing();
+    return !malformed && connection.open() && connection.reads();
   });
   if (malformed && connection.open()) {
     ++counters.malformed;
     Log("an owner's message is malformed, closing its connection");
-    Dismiss(connection.tag);
+    Dismiss(connection.tag, Connection::Rest::kReadNoMore);
   }
   return taken;
 }
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -83,7 +83,8 @@
   bool TrySend(Handle origin, const OwedEnds::End& end);
   void Send(Handle origin, proto::Type type, TaskId id, proto::Cause cause);
   void SendOwed();
-  void Dismiss(Handle handle);
+  void Dismiss(Handle handle, Connection::Rest rest = Connection::Rest::kReadOn);
+  void TakeLast(Owner* owner, Handle handle, const proto::Message& message);
   void Remove(Handle handle);
   void Prune();
   bool Waits(Owner* owner);
--- a/src/front/receive.cpp
+++ b/src/front/receive.cpp
@@ -38,6 +38,10 @@
 
 bool Front::Take(Connection& connection, const Message& m) {
   Owner* owner = owners_.Get(connection.tag);
+  if (owner->leaving > 0) {
+    TakeLast(owner, connection.tag, m);
+    return true;
+  }
   switch (m.type) {
     case Type::kSetUp:
       switch (TakeSetUp(connection, m)) {
@@ -70,6 +74,14 @@
   }
 }
 
+// What crosses the close of our side. A set-up is sent again on another connection by who finds this one
+// closed.
+void Front::TakeLast(Owner* owner, Handle handle, const Message& m) {
+  ++counters.owner_last_words;
+  if (m.type == Type::kRelease) events_->OnOwnerRelease(m.task, handle);
+  if (m.type == Type::kReleaseHeard && ends_.Heard(m.task, handle)) owner->confirms = true;
+}
+
 // Guards against set-ups that nobody could serve, or that would be served as something else: they are
 // answered with an error and reach neither the module nor an agent, who would close on some of them.
 Front::Verdict Front::TakeSetUp(Connection& connection, const Message& m) {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -161,9 +161,10 @@
   Watch();
 }
 
-void Connection::Finish() {
+void Connection::Finish(Rest rest) {
   if (!up() || finishing_) return;
   finishing_ = true;
+  reads_on_ = rest == Rest::kReadOn;
   Flush();
 }
 
@@ -171,7 +172,7 @@
 // lost if the connection ended with the write that met the reset.
 void Connection::WriteFailed() {
   const bool gone = errno == EPIPE || errno == ECONNRESET;
-  if (!gone || finishing_) {  // nothing more is read, or would tell the end
+  if (!gone || !reads()) {  // nothing more is read, or would tell the end
     End(Ending::kReset);
     return;
   }
@@ -204,7 +205,7 @@
 }
 
 void Connection::ReadToEnd() {
-  if (!open() || finishing_) return;
+  if (!open() || !reads()) return;
   reads_to_end_ = true;
   Watch();
 }
@@ -216,7 +217,7 @@
 }
 
 void Connection::Watch() {
-  const bool read = !finishing_ && (reads_to_end_ || pending() < kWriteBackedUp);
+  const bool read = reads() && (reads_to_end_ || pending() < kWriteBackedUp);
   const int events = (read ? EV_READ : 0) | (flushed() ? 0 : EV_WRITE);
   if ((io_.events & (EV_READ | EV_WRITE)) == events) return;
   ev_io_stop(loop_->raw(), &io_);
@@ -258,7 +259,7 @@
     return;
   }
   if (events & EV_WRITE) Flush();
-  if (open() && !finishing_ && (events & EV_READ)) Read();
+  if (open() && reads() && (events & EV_READ)) Read();
 }
 
 // One read a turn, so that who sends at full speed does not keep the others from theirs.
@@ -284,7 +285,7 @@
   last_traffic = loop_->Now();
   const std::string_view data(buffer, kept + static_cast<std::size_t>(got));
   const std::size_t taken = handler_->OnData(*this, data);
-  if (!open() || finishing_) return;
+  if (!open() || !reads()) return;
   if (taken == data.size()) {
     loop_->GiveBuffer(&in_);
     unfinished_since = 0;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -70,9 +70,11 @@
   std::string* out();
   void Refer(const BlockPool::Ref& block, std::size_t from, std::size_t to);
   void Flush();
-  // Reads no more, and closes its own side once what is queued has left. Guards against a close with unread
-  // input, whose reset can destroy answers that were just written: Close() comes a while later.
-  void Finish();
+  // Closes its own side once what is queued has left. Guards against a close with unread input, whose reset
+  // can destroy answers that were just written: Close() comes a while later, or the other side's end.
+  // kReadOn: what crosses this is still handed on; kReadNoMore: it cannot be read anyway.
+  enum class Rest { kReadOn, kReadNoMore };
+  void Finish(Rest rest = Rest::kReadNoMore);
   void Close();
   void Abort();  // closes with a reset, as a process that dies: what is queued is lost
   bool Unread() const { return UnreadBytes() > 0; }  // something has come that was not read yet
@@ -83,7 +85,9 @@
   std::uint64_t bytes_read() const { return bytes_read_; }
   // Reads on to the end also where the other side does not read what is queued for it: it has gone.
   void ReadToEnd();
-  bool finishing() const { return finishing_; }
+  bool reads() const { return !finishing_ || reads_on_; }
+  // Not read for now, since the other side does not read what is queued for it.
+  bool paused() const { return up() && reads() && (io_.events & EV_READ) == 0; }
 
   Handle tag = 0;             // for the owner of the connection
   Time last_traffic = 0;      // bytes in, queued to go out, or gone out late
@@ -111,6 +115,7 @@
   Handler* handler_;
   int socket_ = -1;
   bool dialing_ = false, flush_marked_ = false, finishing_ = false, shut_ = false;
+  bool reads_on_ = false;  // after it has closed its own side
   // A write has failed: the other side has reset the connection. Nothing more is written; what it sent before
   // that is read to the end, and then the connection ends as reset.
   bool broken_ = false;
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -18,6 +18,7 @@
   X(owner_connections) \
   X(owner_closed) \
   X(owner_dismissed) \
+  X(owner_last_words) \
   X(owner_pruned) \
   X(agent_dials) \
   X(agent_dials_failed) \
