Bound what a bad node list can do: gaps, bad entries, streams that never finish

Seen by reading src/bulletin line by line, each forced by a scripted bulletin: - an event behind a gap was taken and the missing ones never called for (Roster::Apply compared with the last number only); - a wrong value in one entry threw out of Roster::Apply: the stream was broken, and the same event came again with every call, so that the list was never read further; - any byte put off the silence bound (BulletinReader::Hear), so half an event a byte at a time kept the watch; - a stream that ended while its connection stayed up was noticed by silence alone; - MoveTo did not call the new bulletin while the old one was out of reach; - a wrong value in `known` of a new file threw in MoveTo, after Engine::Take had taken the file's settings.

Changes: a gap or an unreadable event is called for again once, then accepted or passed over, at most one call a second; a bad entry is left out and its node stays as known, also in a whole list; a comment or whole event has to come within 3 s; a moved list is called at once; CompareShape checks `known`, limits.sockets, the dial and keep-alive times and the bulletin's address, so that a file with a wrong one changes nothing; texts nested deeper than 64 are refused. Each bound has a counter and one line of the log a second at most.

The fixture of config_shape_test held an event without targets, with which the program could not start; it has an empty list now, and the check is stricter than before.

--- a/src/bulletin/reader.cpp
+++ b/src/bulletin/reader.cpp
@@ -1,7 +1,9 @@
 #include "bulletin/reader.h"
 
+#include <optional>
 #include <utility>
 
+#include "config/shape.h"
 #include "net/counters.h"
 #include "net/log.h"
 
@@ -14,8 +16,21 @@
 // A comment comes every second, so this much silence is a break, also where the connection stays up. Each
 // moment more is one for which drains, deaths and starts are not known; a call too many costs one connection.
 constexpr Time kSilence = 1500 * kMs;
+// Guards against a stream that goes on and says nothing, as half an event a byte at a time: within this time
+// a comment or a whole event has to come. With the pause before the next call it stays under the 4 s after
+// which what a silent bulletin would have told counts as told.
+constexpr Time kMostUnfinished = 3 * kSecond;
 constexpr Time kUnaskedPause = 300 * kMs;
 constexpr std::size_t kMostLine = 4 * 1024 * 1024;
+// Events that cannot be used are called for again at most this often; between that they are passed over.
+constexpr Time kRetryPause = kSecond;
+constexpr Time kComplaintPause = kSecond;
+
+std::optional<json> Parse(const std::string& text) {
+  if (IsTooDeep(text)) return std::nullopt;
+  json event = json::parse(text, nullptr, false);
+  return event.is_discarded() ? std::nullopt : std::optional<json>(std::move(event));
+}
 
 }  // namespace
 
@@ -29,45 +44,59 @@
   http_parser_settings_init(&callbacks_);
   callbacks_.on_headers_complete = [](http_parser* p) {
     auto* reader = static_cast<BulletinReader*>(p->data);
-    reader->failed_ = reader->failed_ || p->status_code != 200;
+    if (p->status_code != 200) reader->failure_ = "it does not answer with a stream";
     return 0;
   };
   callbacks_.on_body = [](http_parser* p, const char* at, std::size_t size) {
     static_cast<BulletinReader*>(p->data)->Body({at, size});
     return 0;
   };
+  callbacks_.on_message_complete = [](http_parser* p) {  // though the connection stays up
+    static_cast<BulletinReader*>(p->data)->failure_ = "the stream has ended";
+    return 0;
+  };
 }
 
 void BulletinReader::TellKnown(const json& known) {
-  for (const json& item : known.value("items", json::array())) {
-    Roster::Change change;
-    roster_.Apply(item, &change);
-  }
+  TakeKnown(known, Roster::Gap::kAccept);
   Tell(RosterKind::kCached, roster_.All());
+  wanted_ = unasked_;
   if (unasked_) Connect();
 }
 
 void BulletinReader::MoveTo(const sockaddr_in& address, const json& known) {
-  for (const json& item : known.value("items", json::array())) {
-    Roster::Change change;
-    if (roster_.Apply(item, &change)) Tell(change.full ? RosterKind::kFull : RosterKind::kDelta, change);
-  }
+  TakeKnown(known, Roster::Gap::kRefuse);
   const std::string host = AddressText(address);
   if (host == host_) return;
   address_ = address;
   host_ = host;
-  // Guards against news that only the new bulletin has: the old one falls silent without a sign. A call that
-  // waits for its answer gets it there; where none was out, the next one finds the new address.
-  if (connection_ == nullptr) return;
+  // Guards against news that only the new bulletin has: the old one falls silent without a sign, or was out
+  // of reach, and its next call is a while off. A call that waits for its answer gets it there.
+  if (!wanted_) return;
   loop_->Bury(std::move(connection_));
   Connect();
 }
 
+// The events of a configuration. What it lacks between two of them, the stream brings.
+void BulletinReader::TakeKnown(const json& known, Roster::Gap gap) {
+  const json items = known.is_object() ? known.value("items", json::array()) : json::array();
+  for (const json& item : items) {
+    Roster::Change change;
+    const Roster::Verdict verdict = roster_.Apply(item, gap, &change);
+    if (verdict == Roster::Verdict::kGap) return;
+    if (!change.wrong.empty()) ComplainOfEntries(roster_.last(), change);
+    // What is known at the start is told as one list.
+    if (verdict != Roster::Verdict::kTaken || gap == Roster::Gap::kAccept) continue;
+    Tell(change.full ? RosterKind::kFull : RosterKind::kDelta, change);
+  }
+}
+
 void BulletinReader::Tell(RosterKind kind, const Roster::Change& change) {
   events_->OnRoster(kind, change.version, change.nodes);
 }
 
 void BulletinReader::Subscribe(bool active) {
+  wanted_ = active;
   if (!active) {
     loop_->Bury(std::move(connection_));
     loop_->TakeDown(std::exchange(silence_, 0));
@@ -78,32 +107,51 @@
   asked_ = true;
   if (connection_ == nullptr) {
     Connect();
-  } else if (connection_->up() && loop_->Now() - heard_ < kSilence / 2) {
-    AnswerCall();  // the stream is live: there is nothing newer than what was told
+  } else if (live() && loop_->Now() - alive_ < kSilence / 2) {
+    AnswerCall();  // there is nothing newer than what was told
   }
 }
 
 void BulletinReader::Fetch() {
-  const bool live = connection_ != nullptr && connection_->up();
-  Tell(live ? RosterKind::kFull : RosterKind::kFailed, live ? roster_.All() : Roster::Change{});
+  const bool up = connection_ != nullptr && connection_->up();
+  Tell(up ? RosterKind::kFull : RosterKind::kFailed, up ? roster_.All() : Roster::Change{});
 }
 
 void BulletinReader::Connect() {
   loop_->TakeDown(std::exchange(again_, 0));
-  failed_ = told_ = false;
+  told_ = retry_ = false;
+  failure_ = nullptr;
   line_.clear();
   data_.clear();
   http_parser_init(&parser_, HTTP_RESPONSE);
   parser_.data = this;
   connection_ = std::make_unique<Connection>(loop_, address_, this);
-  Hear();
+  alive_ = loop_->Now();
+  AwaitMore();
 }
 
-// Every byte puts off the moment at which silence counts as a break.
-void BulletinReader::Hear() {
-  heard_ = loop_->Now();
+// The module is not told: nothing that it knows is wrong, and it is not to pause for this.
+void BulletinReader::Reconnect() {
+  ++counters.bulletin_retries;
+  loop_->Bury(std::move(connection_));
+  Connect();
+}
+
+// Every byte puts off the moment at which silence counts as a break, but not beyond kMostUnfinished.
+void BulletinReader::AwaitMore() {
   loop_->TakeDown(silence_);
-  silence_ = loop_->At(heard_ + kSilence, [this] { Break("silent"); });
+  const Time silent = loop_->Now() + kSilence, stalled = alive_ + kMostUnfinished;
+  if (silent <= stalled) {
+    silence_ = loop_->At(silent, [this] {
+      ++counters.bulletin_silent;
+      Break("silent");
+    });
+  } else {
+    silence_ = loop_->At(stalled, [this] {
+      ++counters.bulletin_stalled;
+      Break("no whole event");
+    });
+  }
 }
 
 void BulletinReader::OnUp(Connection& connection) {
@@ -113,11 +161,19 @@
                        std::to_string(roster_.last()) + "\r\n\r\n";
 }
 
+// What ends the stream waits until the parser has returned.
 std::size_t BulletinReader::OnData(Connection&, std::string_view data) {
-  Hear();
   const std::size_t parsed = http_parser_execute(&parser_, &callbacks_, data.data(), data.size());
-  if (parsed != data.size() || HTTP_PARSER_ERRNO(&parser_) != HPE_OK) failed_ = true;
-  if (failed_) Break("unreadable");
+  if (connection_ == nullptr) return data.size();
+  if (retry_) {
+    Reconnect();
+  } else if (failure_ != nullptr) {
+    Break(failure_);
+  } else if (parsed != data.size() || HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+    Break("unreadable");
+  } else {
+    AwaitMore();
+  }
   return data.size();
 }
 
@@ -137,14 +193,19 @@
 }
 
 void BulletinReader::Body(std::string_view piece) {
-  while (!piece.empty() && !failed_) {
+  while (!piece.empty() && failure_ == nullptr && !retry_ && connection_ != nullptr) {
     const std::size_t end = piece.find('\n');
+    const std::string_view part = piece.substr(0, end);
+    if (line_.size() + data_.size() + part.size() > kMostLine) {
+      ++counters.bulletin_oversized;
+      failure_ = "an event is too large";
+      return;
+    }
     if (end == std::string_view::npos) {
-      line_ += piece;
-      failed_ = line_.size() > kMostLine;
+      line_ += part;
       return;
     }
-    std::string_view line = piece.substr(0, end);
+    std::string_view line = part;
     if (!line_.empty()) line = line_ += line;
     if (line.ends_with('\r')) line.remove_suffix(1);
     LineIn(line);
@@ -154,36 +215,77 @@
 }
 
 void BulletinReader::LineIn(std::string_view line) {
-  told_ = true;
   if (line.empty()) {
     if (!data_.empty()) EventIn();
     data_.clear();
   } else if (line.starts_with(':')) {
+    SignOfLife();
     AnswerCall();  // a comment: nothing was missed
   } else if (line.starts_with("data:")) {
     line.remove_prefix(line.starts_with("data: ") ? 6 : 5);
     if (!data_.empty()) data_ += '\n';
     data_ += line;
-    failed_ = failed_ || data_.size() > kMostLine;
   }  // the number of an event stands in its data too
 }
 
 void BulletinReader::EventIn() {
+  SignOfLife();
+  const std::optional<json> event = Parse(data_);
   Roster::Change change;
-  try {
-    if (!roster_.Apply(json::parse(data_), &change)) return;
-  } catch (const std::exception& error) {
-    Log("bulletin: %s", error.what());
-    failed_ = true;
-    return;
+  auto verdict = Roster::Verdict::kBad;
+  if (event) verdict = roster_.Apply(*event, Roster::Gap::kRefuse, &change);
+  if (verdict == Roster::Verdict::kKnown) return;
+  if (verdict != Roster::Verdict::kTaken) {
+    retry_ = MayRetry();
+    if (retry_) return;
+    if (verdict == Roster::Verdict::kBad) return PassOver(change);
+    ++counters.bulletin_gaps;
+    Complain("the events after " + std::to_string(roster_.last()) + " are not to be had, it goes on without");
+    roster_.Apply(*event, Roster::Gap::kAccept, &change);
   }
   ++counters.bulletin_events;
+  if (!change.wrong.empty()) ComplainOfEntries(roster_.last(), change);
   asked_ = false;
   Tell(change.full ? RosterKind::kFull : RosterKind::kDelta, change);
 }
 
+void BulletinReader::PassOver(const Roster::Change& change) {
+  ++counters.bulletin_events_bad;
+  const std::string what = change.wrong.empty() ? "it is no JSON" : Describe(change.wrong.front());
+  Complain("the event after " + std::to_string(roster_.last()) + " is passed over: " + what);
+}
+
+// Whether the events after the last one taken are called for again: once, since a bulletin that sends the
+// same again has nothing else.
+bool BulletinReader::MayRetry() {
+  const Time now = loop_->Now();
+  if (retried_after_ == roster_.last() || now - retried_at_ < kRetryPause) return false;
+  retried_after_ = roster_.last();
+  retried_at_ = now;
+  return true;
+}
+
+void BulletinReader::ComplainOfEntries(std::int64_t event, const Roster::Change& change) {
+  counters.bulletin_entries_bad += change.wrong.size();
+  Complain("of event " + std::to_string(event) + " " + std::to_string(change.wrong.size()) +
+           " entries are left out: " + Describe(change.wrong.front()));
+}
+
+// Guards against a bulletin whose mistakes fill the log: the counters tell how many there were.
+void BulletinReader::Complain(const std::string& text) {
+  const Time now = loop_->Now();
+  if (now - complained_at_ < kComplaintPause) return;
+  complained_at_ = now;
+  Log("bulletin: %s", text.c_str());
+}
+
+void BulletinReader::SignOfLife() {
+  told_ = true;
+  alive_ = loop_->Now();
+}
+
 void BulletinReader::AnswerCall() {
-  if (std::exchange(asked_, false)) Tell(RosterKind::kDelta, {false, 0, {}});
+  if (std::exchange(asked_, false)) Tell(RosterKind::kDelta, {});
 }
 
 }  // namespace willowrail
--- a/src/bulletin/reader.h
+++ b/src/bulletin/reader.h
@@ -39,12 +39,19 @@
   void OnEnd(Connection& connection, Ending ending) override;
 
   void Connect();
-  void Hear();
+  void Reconnect();
+  void AwaitMore();
   void Break(const char* why);
   void Body(std::string_view piece);
   void LineIn(std::string_view line);
   void EventIn();
+  void TakeKnown(const nlohmann::json& known, Roster::Gap gap);
+  void SignOfLife();
   void AnswerCall();
+  bool MayRetry();
+  void PassOver(const Roster::Change& change);
+  void Complain(const std::string& text);
+  void ComplainOfEntries(std::int64_t event, const Roster::Change& change);
   void Tell(passbridge::RosterKind kind, const Roster::Change& change);
 
   Loop* loop_;
@@ -53,15 +60,24 @@
   DirectoryEvents* events_;
   Roster roster_;
   const bool unasked_;   // changes arrive without a call, and failures are nobody's
+  bool wanted_ = false;  // the list is to be read
   bool asked_ = false;   // a call waits for its answer
-  bool told_ = false;    // a word of the stream has come: what it has beyond `known` comes with it
-  bool failed_ = false;  // what came in cannot be read
+  Time retried_at_ = 0;  // when what followed an event could not be used, and was called for again
+  std::int64_t retried_after_ = -1;  // the number of that event
+  Time complained_at_ = 0;
+
+  // Of the connection at hand; Connect sets all of it anew, so that nothing of an old stream is left.
   std::unique_ptr<Connection> connection_;
   http_parser parser_{};
+  bool told_ = false;              // a comment or event has come: what is beyond `known` comes with it
+  const char* failure_ = nullptr;  // why what came in cannot be read
+  bool retry_ = false;             // the events from the last one taken on are to be called for again
+  std::string line_, data_;        // they outlive the buffer they came in
+  Time alive_ = 0;                 // when a comment or event came last
+  Handle silence_ = 0;
+
   http_parser_settings callbacks_{};
-  std::string line_, data_;  // they outlive the buffer they came in
-  Time heard_ = 0;
-  Handle silence_ = 0, again_ = 0;
+  Handle again_ = 0;
 };
 
 }  // namespace willowrail
--- a/src/bulletin/roster.cpp
+++ b/src/bulletin/roster.cpp
@@ -1,10 +1,11 @@
 #include "bulletin/roster.h"
 
 #include <algorithm>
-#include <set>
-#include <stdexcept>
+#include <optional>
 #include <utility>
 
+#include "config/listing.h"
+
 namespace willowrail {
 namespace {
 
@@ -13,9 +14,7 @@
 
 NodeState ReadState(const std::string& word) {
   if (word == "in_service") return NodeState::kReady;
-  if (word == "terminating") return NodeState::kDraining;
-  if (word == "terminated") return NodeState::kGone;
-  throw std::runtime_error("a node in the unknown state '" + word + "'");
+  return word == "terminating" ? NodeState::kDraining : NodeState::kGone;
 }
 
 int Position(const std::vector<std::string>& names, const std::string& name) {
@@ -23,60 +22,87 @@
   return it == names.end() ? 0 : static_cast<int>(it - names.begin());
 }
 
+// The uid of an entry, also of one with other values that are wrong; empty where it has none.
+std::string UidOf(const json& entry) {
+  const auto uid = entry.is_object() ? entry.find("uid") : entry.end();
+  return uid != entry.end() && uid->is_string() ? uid->get<std::string>() : "";
+}
+
 }  // namespace
 
 Roster::Roster(std::vector<std::string> zones, std::vector<std::string> kinds)
     : zones_(std::move(zones)), kinds_(std::move(kinds)) {}
 
-ListedNode Roster::Read(const json& target) const {
+// What the entry does not say stays as it was known.
+ListedNode Roster::Read(const std::string& uid, const json& entry) const {
   ListedNode node;
-  node.entry.node = NodeOf(target.at("uid").get<std::string>());
-  node.entry.state = ReadState(target.at("state").get<std::string>());
-  node.entry.zone = Position(zones_, target.value("az", ""));
-  node.entry.kind = Position(kinds_, target.value("model", ""));
-  node.entry.cell = target.value("pod_group", 0);
-  node.entry.nominal = target.value("capacity_hint", 1.0);
-  node.entry.came_up = target.value("boot_ms", std::int64_t{0}) * kMs;
-  if (const auto unasked = target.find("unasked"); unasked != target.end() && unasked->is_array()) {
-    node.entry.free_cores = unasked->at(0).get<double>();
-    node.entry.free_memory = unasked->at(1).get<double>();
+  node.entry.nominal = 1;
+  if (const auto known = nodes_.find(uid); known != nodes_.end()) node = known->second;
+  node.entry.node = NodeOf(uid);
+  node.entry.state = ReadState(entry.at("state").get<std::string>());
+  if (entry.contains("az")) node.entry.zone = Position(zones_, entry["az"].get<std::string>());
+  if (entry.contains("model")) node.entry.kind = Position(kinds_, entry["model"].get<std::string>());
+  node.entry.cell = entry.value("pod_group", node.entry.cell);
+  node.entry.nominal = entry.value("capacity_hint", node.entry.nominal);
+  if (entry.contains("boot_ms")) node.entry.came_up = entry["boot_ms"].get<std::int64_t>() * kMs;
+  if (entry.contains("unasked")) {
+    node.entry.free_cores = entry["unasked"][0].get<double>();
+    node.entry.free_memory = entry["unasked"][1].get<double>();
   }
-  node.endpoint = target.value("endpoint", "");
+  const std::string endpoint = entry.value("endpoint", "");
+  if (!endpoint.empty()) node.endpoint = endpoint;
   return node;
 }
 
-bool Roster::Apply(const json& event, Change* change) {
-  const std::int64_t number = event.at("no").get<std::int64_t>();
-  if (number <= last_) return false;
-  const json& roster = event.at("roster");
+Roster::Verdict Roster::Apply(const json& event, Gap gap, Change* change) {
+  if (std::optional<Complaint> wrong = CheckListEvent(event)) {
+    change->wrong.push_back(std::move(*wrong));
+    return Verdict::kBad;
+  }
+  const std::int64_t number = event["no"].get<std::int64_t>();
+  if (number <= last_) return Verdict::kKnown;
+  const json& roster = event["roster"];
   change->full = roster.value("all", false);
+  if (!change->full && number > last_ + 1 && gap == Gap::kRefuse) return Verdict::kGap;
   change->version = roster.value("rev", std::int64_t{0});
-  std::set<std::string> named;
-  for (const json& target : roster.at("targets")) {
-    const std::string uid = target.at("uid").get<std::string>();
-    change->nodes.push_back(Read(target));
-    named.insert(uid);
-  }
-  std::size_t i = 0;
-  for (const json& target : roster.at("targets")) {
-    nodes_[target.at("uid").get<std::string>()] = change->nodes[i++];
+  TakeEntries(roster["targets"], change);
+  last_ = number;
+  version_ = change->version;
+  return Verdict::kTaken;
+}
+
+void Roster::TakeEntries(const json& targets, Change* change) {
+  Uids taken, unread;
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    const std::string uid = UidOf(targets[i]);
+    if (const std::optional<Complaint> wrong = CheckListEntry(targets[i])) {
+      const std::string path = "roster.targets[" + std::to_string(i) + "]." + wrong->path;
+      change->wrong.push_back({path, wrong->said, wrong->wanted});
+      unread.insert(uid);
+      continue;
+    }
+    ListedNode node = Read(uid, targets[i]);
+    change->nodes.push_back(node);
+    nodes_[uid] = std::move(node);
+    taken.insert(uid);
   }
+  if (change->full) CompleteFullList(taken, unread, change);
+  std::erase_if(nodes_, [](const auto& node) { return node.second.entry.state == NodeState::kGone; });
+}
+
+// A full list takes off whom it does not name. Guards against ends of tasks that run on: a node whose entry
+// could not be read is not taken for gone, and no node is where an entry does not say whose it is.
+void Roster::CompleteFullList(const Uids& taken, const Uids& unread, Change* change) {
   for (auto& [uid, node] : nodes_) {
-    if (!change->full || named.contains(uid) || node.entry.state == NodeState::kGone) continue;
-    node.entry.state = NodeState::kGone;
+    if (taken.contains(uid)) continue;
+    if (!unread.contains(uid) && !unread.contains("")) node.entry.state = NodeState::kGone;
     change->nodes.push_back(node);
   }
-  std::erase_if(nodes_, [](const auto& node) { return node.second.entry.state == NodeState::kGone; });
-  last_ = number;
-  version_ = change->version;
-  return true;
 }
 
 Roster::Change Roster::All() const {
-  Change all{true, version_, {}};
-  for (const auto& [uid, node] : nodes_) {
-    if (node.entry.state != NodeState::kGone) all.nodes.push_back(node);
-  }
+  Change all{true, version_, {}, {}};
+  for (const auto& [uid, node] : nodes_) all.nodes.push_back(node);
   return all;
 }
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -42,9 +42,10 @@
 }
 
 sockaddr_in Address(const json& config, const char* field) {
+  const json& value = config.at(field);
   sockaddr_in address{};
-  if (!ParseAddress(config.at(field).get<std::string>(), &address)) {
-    throw std::runtime_error(std::string("configuration: ") + field + " is not an address and a port");
+  if (!value.is_string() || !ParseAddress(value.get_ref<const std::string&>(), &address)) {
+    throw std::runtime_error(Describe({field, Said(value), "write an address and a port, as 10.0.0.5:9092"}));
   }
   return address;
 }
--- a/src/config/shape.cpp
+++ b/src/config/shape.cpp
@@ -6,6 +6,9 @@
 #include <set>
 #include <stdexcept>
 
+#include "config/listing.h"
+#include "net/connection.h"
+
 namespace willowrail {
 namespace {
 
@@ -22,14 +25,6 @@
   return number >= low && number <= high;  // neither holds for NaN
 }
 
-// Long values are cut: a complaint is one line of the log.
-std::string Said(const json& value) {
-  constexpr std::size_t kMost = 60;
-  std::string text = value.dump(-1, ' ', true, json::error_handler_t::replace);
-  if (text.size() > kMost) text = text.substr(0, kMost) + "...";
-  return text;
-}
-
 const json* Find(const json& in, const char* key) {
   const auto it = in.is_object() ? in.find(key) : in.end();
   return it == in.end() ? nullptr : &*it;
@@ -84,6 +79,12 @@
     if (tries != nullptr && (!IsNumber(*tries, 1, kMostInt) || !IsWhole(*tries))) {
       Complain("settings.Allowed.MostTries", tries, "write a whole number of attempts above 0");
     }
+    for (const char* key : {"DialTimeout", "Keepalive"}) {
+      const json* time = allowed == nullptr ? nullptr : Find(*allowed, key);
+      if (time != nullptr && !IsNumber(*time, 1, kMostTime)) {
+        Complain(std::string("settings.Allowed.") + key, time, "write a number of nanoseconds above 0");
+      }
+    }
     const json* size = Find(fresh, "GroupSize");
     if (size != nullptr && !IsNumber(*size, 1, kMostInt)) {
       Complain("settings.GroupSize", size, "write a number of at least 1");
@@ -94,6 +95,32 @@
     }
   }
 
+  void Limits(const json& limits) {
+    const json* sockets = Find(limits, "sockets");
+    if (sockets != nullptr && (!IsNumber(*sockets, 1, kMostInt) || !IsWhole(*sockets))) {
+      Complain("limits.sockets", sockets, "write a whole number of descriptors above 0");
+    }
+  }
+
+  void Bulletin(const json& address) {
+    sockaddr_in parsed{};
+    if (!address.is_string() || !ParseAddress(address.get_ref<const std::string&>(), &parsed)) {
+      Complain("bulletin", &address, "write an address and a port, as 10.0.0.5:9092");
+    }
+  }
+
+  // The events of the node list, each with all of its entries.
+  void Known(const json& known) {
+    if (!known.is_object()) return Complain("known", &known, "write an object");
+    Key("known", "no", 0, known);
+    Key("known", "items", json::array(), known);
+    const json* items = Find(known, "items");
+    if (items == nullptr || !items->is_array()) return;
+    for (std::size_t i = 0; i < items->size(); ++i) {
+      ListEvent("known.items[" + std::to_string(i) + "]", (*items)[i]);
+    }
+  }
+
   // Lists with an entry for each class may be shorter or longer than there are classes.
   void PerClass(const json& fresh) {
     const json* family = Find(fresh, "FamilyInfo");
@@ -137,6 +164,20 @@
     });
   }
 
+  void ListEvent(const std::string& path, const json& event) {
+    if (const auto wrong = CheckListEvent(event)) return Complain(path + ".", *wrong);
+    const json& targets = event["roster"]["targets"];
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+      const auto wrong = CheckListEntry(targets[i]);
+      if (wrong) Complain(path + ".roster.targets[" + std::to_string(i) + "].", *wrong);
+    }
+  }
+
+  void Complain(const std::string& prefix, const Complaint& complaint) {
+    if (!paths_.insert(prefix + complaint.path).second) return;
+    complaints_.push_back({prefix + complaint.path, complaint.said, complaint.wanted});
+  }
+
   template <typename Legal>
   void Entries(const std::string& path, const json* list, const std::string& wanted, const Legal& legal) {
     if (list == nullptr || !list->is_array()) return;
@@ -220,6 +261,34 @@
 
 }  // namespace
 
+// Long values are cut: a complaint is one line of the log.
+std::string Said(const json& value) {
+  constexpr std::size_t kMost = 60;
+  std::string text = value.dump(-1, ' ', true, json::error_handler_t::replace);
+  if (text.size() > kMost) text = text.substr(0, kMost) + "...";
+  return text;
+}
+
+bool IsTooDeep(std::string_view text) {
+  constexpr int kMostDepth = 64;
+  int depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      if (c == '\\') ++i;  // whatever is escaped
+      in_string = c != '"';
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMostDepth) return true;
+    } else if (c == ']' || c == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
 json ParseConfig(std::string_view text, const std::string& file) {
   if (text.find_first_not_of(" \t\r\n") == std::string_view::npos) {
     throw std::runtime_error(file + ": the file is empty");
@@ -229,6 +298,9 @@
     throw std::runtime_error(file + ", line " + Line(text, nul) + ", byte " + std::to_string(nul + 1) +
                              ": a NUL, which no configuration holds");
   }
+  if (IsTooDeep(text)) {
+    throw std::runtime_error(file + ": lists and objects lie deeper in one another than 64; write fewer");
+  }
   json config;
   try {
     config = json::parse(text);
@@ -264,10 +336,9 @@
     comparison.Numbers(*settings);
     comparison.PerClass(*settings);
   }
-  if (const json* known = Find(fresh, "known"); known != nullptr && known->is_object()) {
-    comparison.Key("known", "no", 0, *known);
-    comparison.Key("known", "items", json::array(), *known);
-  }
+  if (const json* known = Find(fresh, "known")) comparison.Known(*known);
+  if (const json* limits = Find(fresh, "limits")) comparison.Limits(*limits);
+  if (const json* bulletin = Find(fresh, "bulletin")) comparison.Bulletin(*bulletin);
   for (const auto& [key, value] : first.items()) {
     const json* found = Find(fresh, key.c_str());
     // The events so far are other ones each time, and what a start alone needs may be gone.
--- a/src/config/shape.h
+++ b/src/config/shape.h
@@ -23,6 +23,13 @@
 // another type, a deadline or a number of attempts that is no number above 0. Empty: it may be taken, whole.
 std::vector<Complaint> CompareShape(const nlohmann::json& first, const nlohmann::json& fresh);
 
+// A value as a complaint shows it: one line, long ones cut.
+std::string Said(const nlohmann::json& value);
+
+// Whether lists and objects of a JSON text lie in one another deeper than any that this program reads. Guards
+// against texts whose values cannot be copied or written without running out of stack.
+bool IsTooDeep(std::string_view text);
+
 // As settings.Services[2].Deadline: "soon"; write a number of nanoseconds above 0
 std::string Describe(const Complaint& complaint);
 
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -75,7 +75,14 @@
   X(bytes_held) \
   X(reloads) \
   X(reloads_refused) \
-  X(exchange_failed)
+  X(exchange_failed) \
+  X(bulletin_silent) \
+  X(bulletin_stalled) \
+  X(bulletin_oversized) \
+  X(bulletin_retries) \
+  X(bulletin_gaps) \
+  X(bulletin_events_bad) \
+  X(bulletin_entries_bad)
 // clang-format on
 
 struct Counters {
--- a/tests/config_shape_test.cpp
+++ b/tests/config_shape_test.cpp
@@ -4,6 +4,8 @@
 
 #include <limits>
 #include <stdexcept>
+#include <utility>
+#include <vector>
 
 #include "config/config.h"
 #include "config/shape.h"
@@ -36,14 +38,15 @@
                             {"NeedsKind", {-1, -1, 0}},     {"Precedence", {0, 2, 3}},
                             {"ClassMost", {2, 3, 4}},       {"StartSeconds", {8.0, 10.0, 12.0}},
                             {"YesAt", "running"},           {"ApartBy", {"none", "cell", "zone"}}};
-  return {{"name", "n3"},
-          {"listen", "127.0.0.1:3868"},
-          {"admin_addr", "127.0.0.1:3869"},
-          {"seed", "8c1f30d27a5be964"},
-          {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
-          {"bulletin", "127.0.0.1:9092"},
-          {"known", {{"no", 3}, {"items", {{{"no", 3}, {"roster", {{"rev", 1}}}}}}}},
-          {"settings", settings}};
+  return {
+      {"name", "n3"},
+      {"listen", "127.0.0.1:3868"},
+      {"admin_addr", "127.0.0.1:3869"},
+      {"seed", "8c1f30d27a5be964"},
+      {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+      {"bulletin", "127.0.0.1:9092"},
+      {"known", {{"no", 3}, {"items", {{{"no", 3}, {"roster", {{"rev", 1}, {"targets", json::array()}}}}}}}},
+      {"settings", settings}};
 }
 
 // Why the text is not taken, empty where it is: as a reload goes about it.
@@ -174,6 +177,80 @@
   CHECK(With("/name", json(std::vector<int>(1000, 7))).size() < 150);  // long values are cut
 }
 
+json Entry() {
+  return {{"uid", "s-00000001"},  {"endpoint", "127.0.0.1:3870"}, {"az", "hall-a"},     {"model", "std"},
+          {"pod_group", 2},       {"state", "in_service"},        {"capacity_hint", 4}, {"boot_ms", 0},
+          {"unasked", {1.5, 2.0}}};
+}
+
+TEST_CASE("the node list of a file is checked to its last entry") {
+  const auto refusal = [](const json& entry) {
+    json fresh = Valid();
+    fresh["known"]["items"][0]["roster"]["targets"] = {Entry(), entry};
+    return Refusal(fresh.dump());
+  };
+  const std::string path = "known.items[0].roster.targets[1].";
+  for (const auto& [key, bad] : std::vector<std::pair<const char*, std::vector<json>>>{
+           {"uid", {"", 1, nullptr}},
+           {"state", {"ready", "", 1, nullptr}},
+           {"endpoint", {"", "here", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:65536", 1, nullptr}},
+           {"az", {1, nullptr}},
+           {"model", {1, nullptr}},
+           {"pod_group", {-1, 0.5, "2", 1e10, nullptr}},
+           {"capacity_hint", {-1, "4", nullptr}},
+           {"boot_ms", {-1, 0.5, 1e16, "0", nullptr}},
+           {"unasked", {1, json::array(), {1}, {1, "2"}, {1, 2, 3}, nullptr}}}) {
+    for (const json& value : bad) {
+      json entry = Entry();
+      entry[key] = value;
+      CHECK_MESSAGE(Has(refusal(entry), path + key + ": " + value.dump() + "; write "), key);
+    }
+  }
+  for (const char* key : {"uid", "state", "endpoint"}) {
+    json entry = Entry();
+    entry.erase(key);
+    CHECK_MESSAGE(Has(refusal(entry), path + key + ": missing; write "), key);
+  }
+  CHECK(refusal({{"uid", "s-00000002"}, {"endpoint", "127.0.0.1:3871"}, {"state", "terminating"}}) == "");
+  CHECK(refusal({{"uid", "s-00000002"}, {"state", "terminated"}}) == "");
+  json overbooked = Entry();
+  overbooked["unasked"] = {-0.25, 0};
+  CHECK(refusal(overbooked) == "");
+}
+
+TEST_CASE("the events of a file, limits, times and the bulletin's address are checked") {
+  CHECK(Has(With("/known/items/0", 5), "known.items[0].event: 5; write an object"));
+  for (const json& bad : {json(0), json(-1), json("3"), json(1e30), json(2.5)}) {
+    CHECK_MESSAGE(Has(With("/known/items/0/no", bad), "known.items[0].no: "), bad);
+  }
+  CHECK(Has(With("/known/items/0/roster", nullptr), "known.items[0].roster: null; "));
+  CHECK(Has(With("/known/items/0/roster/rev", "1"), "known.items[0].roster.rev: \"1\"; "));
+  CHECK(Has(With("/known/items/0/roster/all", "yes"), "known.items[0].roster.all: \"yes\"; "));
+  CHECK(Has(With("/known/items/0/roster/targets", 1), "known.items[0].roster.targets: 1; "));
+  json first = Valid();
+  first.erase("known");
+  json fresh = first;
+  fresh["known"] = "none";
+  CHECK(Has(Refusal(fresh.dump(), first), "known: \"none\"; write an object"));
+  for (const json& bad : {json(0), json(-1), json(1.5), json(1e12)}) {
+    CHECK_MESSAGE(Has(With("/limits/sockets", bad), "limits.sockets: "), bad);
+  }
+  CHECK(Has(With("/settings/Allowed/DialTimeout", 0), "settings.Allowed.DialTimeout: 0; "));
+  CHECK(Has(With("/settings/Allowed/DialTimeout", -1), "settings.Allowed.DialTimeout: -1; "));
+  for (const char* bad : {"", "bulletin", "127.0.0.1", "127.0.0.1:port", "300.0.0.1:9092"}) {
+    CHECK_MESSAGE(Has(With("/bulletin", bad), "bulletin: "), bad);
+  }
+}
+
+TEST_CASE("a text whose values lie too deep in one another is refused, whatever stands in strings") {
+  const std::string deep(100'000, '['), in_string = "\"\\\"" + std::string(100, '[') + "\"";
+  CHECK(Has(Refusal(deep), "config.json: lists and objects lie deeper"));
+  CHECK(Has(Refusal("{\"settings\": " + deep), "config.json: lists and objects lie deeper"));
+  CHECK_FALSE(IsTooDeep(Valid().dump()));
+  CHECK_FALSE(IsTooDeep(in_string));
+  CHECK_FALSE(IsTooDeep(std::string(64, '[') + std::string(64, ']') + "[]"));
+}
+
 TEST_CASE("a file with other values, other classes and unknown keys is taken") {
   json fresh = Valid();
   json& settings = fresh["settings"];
