Take a new start told in a whole list for a new life, as one told in a change

Seen: with real processes the program of before did not renew a cold agent's budget at a new boot_ms, though `n.cold_sends.clear()` says so; with three processes 9 were sent, not 18. Cause: Roster::On(RosterChanged) first sets `listed` to false for every node of a whole list, and then asks `n.listed` whether the entry is of another life (roster.h). So a new life told in a whole list kept the strikes, the bookings not yet in view and, since the cold budget counts them, left out the sends to it from before it was heard of. Whether a list ever told of the node is asked instead (`told_at`).

Test: ColdNode.TakenForWarmWhileItsStartWasNotHeardOfHasHadWhatWasSent plays a change and a whole list; the latter was seen to fail before (4 more sends).

--- a/src/decide/roster.h
+++ b/src/decide/roster.h
@@ -28,8 +28,8 @@
     }
     for (const NodeEntry& entry : *e.entries) {
       Node& n = *table.FindOrInsert(entry.node);
-      if (entry.came_up != n.entry.came_up && n.listed) {  // another life: what was known is void
-        for (const OwnChange& c : n.own) {                 // but what was sent to it before it was heard of
+      if (entry.came_up != n.entry.came_up && n.told_at > 0) {  // another life: what was known is void
+        for (const OwnChange& c : n.own) {  // but what was sent to it before it was heard of
           if (c.room.cores > 0 && c.at >= entry.came_up) n.cold_sends.push_back(c.at);
         }
         Leave(&n, [](const OwnChange&) { return true; });
--- a/tests/logic_cold_test.cpp
+++ b/tests/logic_cold_test.cpp
@@ -302,16 +302,18 @@
 }
 
 TEST(ColdNode, TakenForWarmWhileItsStartWasNotHeardOfHasHadWhatWasSent) {
-  ColdNode t;
-  t.node.came_up = 0;
-  t.driver.Roster({t.node});
-  t.driver.Wait(kSecond);
-  const Time up = t.driver.now;
-  EXPECT_EQ(t.Ask(6), 6U);
-  t.driver.Wait(200 * kMs);
-  t.node.came_up = up;
-  t.driver.Roster({t.node}, RosterKind::kDelta);
-  EXPECT_EQ(t.Ask(8), 0U);
+  for (const RosterKind kind : {RosterKind::kDelta, RosterKind::kFull}) {
+    ColdNode t;
+    t.node.came_up = 0;
+    t.driver.Roster({t.node});
+    t.driver.Wait(kSecond);
+    const Time up = t.driver.now;
+    EXPECT_EQ(t.Ask(6), 6U);
+    t.driver.Wait(200 * kMs);
+    t.node.came_up = up;
+    t.driver.Roster({t.node}, kind);
+    EXPECT_EQ(t.Ask(8), 0U);
+  }
 }
 
 // Settings that count fewer schedulers than there are leave those past the count no share.
