Put src/cli under the linter, and its list of names on the one that readers of documents use

Seen: a fourth copy of the list of names in src/cli/sites_command.cpp; several declarations in one statement; a message built of temporary strings in a loop. One NOLINT: the destructor of JSON may allocate, so a struct that holds one may throw from its own.

Checked: `sites drill` of both versions on four calls, three of them wrong: the same text and exit status. The twelve tests of commands, drill and plan pass; clang-tidy finds nothing in both sources.

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -49,7 +49,10 @@
 
  private:
   static bool Fits(std::string_view pattern, std::string_view name) {
-    std::size_t star = std::string_view::npos, mark = 0, p = 0, n = 0;
+    std::size_t star = std::string_view::npos;  // the last * of the pattern so far
+    std::size_t mark = 0;                       // where in the name it was met
+    std::size_t p = 0;
+    std::size_t n = 0;
     while (n < name.size()) {
       if (p < pattern.size() && pattern[p] == '*') {
         star = p++;
@@ -197,9 +200,11 @@
   app.name("willowrail");
   app.require_subcommand(1);
   int exit = kDone;
-  std::string path, code;
+  std::string path;
+  std::string code;
   std::vector<std::string> paths;
-  bool write = false, check_only = false;
+  bool write = false;
+  bool check_only = false;
   Files files;
   CLI::App* serve = app.add_subcommand("serve", "serve, as without a command");
   serve->add_option("--sites", files.sites, "the plan for the loss of sites, as deploy/sites.json");
--- a/src/cli/sites_command.cpp
+++ b/src/cli/sites_command.cpp
@@ -9,6 +9,7 @@
 
 #include "config/config.h"
 #include "documents/load.h"
+#include "documents/mistakes.h"
 #include "sites/drill.h"
 #include "sites/plan.h"
 
@@ -63,12 +64,7 @@
   return it == names.end() ? -1 : static_cast<int>(it - names.begin());
 }
 
-std::string Listed(const std::vector<std::string>& names) {
-  std::string text;
-  for (const std::string& name : names) text += (text.empty() ? "" : ", ") + name;
-  return text;
-}
-
+// NOLINTNEXTLINE(bugprone-exception-escape): the destructor of JSON may allocate, as the library has it
 struct Read {
   Config config;
   sites::Deployment deployment;
@@ -123,9 +119,12 @@
     for (const auto& [uid, target] : Targets(call.list.empty() ? read.known : ReadJson(call.list), from)) {
       sites::DrillNode node;
       node.site = NumberOf(read.deployment.sites, target.value("az", ""));
-      if (node.site < 0)
-        throw BadCall(from + ": " + uid + " stands in " + target["az"].dump() +
-                      ", which the settings do not name: " + Listed(read.deployment.sites));
+      if (node.site < 0) {
+        std::string text = from;
+        text.append(": ").append(uid).append(" stands in ").append(target["az"].dump());
+        text.append(", which the settings do not name: ").append(documents::Listed(read.deployment.sites));
+        throw BadCall(text);
+      }
       const int kind = std::max(0, NumberOf(read.config.kinds, target.value("model", "")));
       node.cores = settings.kind_cores.at(static_cast<std::size_t>(kind));
       node.memory = settings.kind_memory.at(static_cast<std::size_t>(kind));
@@ -139,8 +138,8 @@
     for (const std::string& name : call.lose) {
       lose.push_back(NumberOf(read.deployment.sites, name));
       if (lose.back() < 0)
-        throw BadCall("--lose " + name +
-                      ": there is no such site, the settings name: " + Listed(read.deployment.sites));
+        throw BadCall("--lose " + name + ": there is no such site, the settings name: " +
+                      documents::Listed(read.deployment.sites));
     }
     sites::DrillTerms terms;
     for (const std::string& each : call.mix) {
@@ -151,7 +150,7 @@
       const std::string name = each.substr(0, equals);
       if (share < 0 || NumberOf(read.deployment.classes, name) < 0)
         throw BadCall("--mix " + each +
-                      ": write CLASS=SHARE, with a class of: " + Listed(read.deployment.classes));
+                      ": write CLASS=SHARE, with a class of: " + documents::Listed(read.deployment.classes));
       terms.mix[name] = share;
     }
     terms.patience = read.config.dial_timeout;
