Keep the connection that a task came by for its end, and trust nobody for claiming a task

Followed by id with a trace of engine and front: - Front::IsOverdue closed a connection after 6 s without traffic also where tasks stood that had come by it. Ruled out: the nodes (each end had arrived), the handover between processes, the table of owed ends (it tried again until its limits). Now a connection is kept as long as a task stands that came by it (Owners::Stands), an end goes by that way first, and only an answer or a confirmed end earns trust.

--- a/src/ends/owed_ends.cpp
+++ b/src/ends/owed_ends.cpp
@@ -5,7 +5,7 @@
 
 namespace willowrail {
 
-void OwedEnds::Owe(std::uint64_t task, int kind, int cause, Time now) {
+void OwedEnds::Owe(std::uint64_t task, int kind, int cause, Time now, Way own) {
   // Guards against memory that grows while no owner is there: the oldest is the one least likely to be
   // wanted.
   if (ends_.size() >= kMost && !ends_.contains(task)) {
@@ -17,7 +17,7 @@
   }
   End& end = ends_[task];
   if (end.since == 0 || end.way != 0) ++waiting_;
-  end = {task, kind, cause, now, 0, 0, 0, false};
+  end = {task, kind, cause, now, 0, 0, 0, false, own};
 }
 
 void OwedEnds::Written(std::uint64_t task, Way way, bool confirming, Time now) {
--- a/src/ends/owed_ends.h
+++ b/src/ends/owed_ends.h
@@ -48,9 +48,10 @@
     Way shunned = 0;          // it fell silent with this end
     Time written = 0;         // or, later: when it was still held back
     bool confirming = false;  // its way has confirmed others before
+    Way own = 0;              // by which the task came; 0: not known
   };
 
-  void Owe(std::uint64_t task, int kind, int cause, Time now);
+  void Owe(std::uint64_t task, int kind, int cause, Time now, Way own = 0);
   void Written(std::uint64_t task, Way way, bool confirming, Time now);
   // False where it was not owed on that way.
   bool Heard(std::uint64_t task, Way way);
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -114,7 +114,7 @@
     if (r->passage != s.passage || (!s.at && !r->owed)) return false;
     if (s.at) {
       ++counters.setups_at_held;
-      if (r->origin == 0) r->origin = s.origin;  // another process had passed it on
+      if (r->standing) MoveOrigin(r, s.origin);
     } else {  // sent again over a closing connection: the answer goes where it came from last
       ++counters.setups_resent;
       r->origin = s.origin;
@@ -140,6 +140,7 @@
   by_id_[s.id] = handle;
   s.task.id = handle;
   if (s.at) {
+    owners_->Stands(s.origin, true);
     agents_->Stands(*s.at, s.id, true);
     const Handle origin = s.origin;
     Post(passbridge::TaskFound{s.task, *s.at});
@@ -159,6 +160,13 @@
   return true;
 }
 
+// A standing task was handed over again: its end is told on the way that this came by.
+void Engine::MoveOrigin(Request* r, Handle origin) {
+  owners_->Stands(r->origin, false);
+  r->origin = origin;
+  owners_->Stands(origin, true);
+}
+
 void Engine::OnOwnerRelease(TaskId id, Handle origin) {
   Request* r = Find(id);
   if (r == nullptr || r->cutting || (r->owed && r->origin != origin)) return;
@@ -226,6 +234,7 @@
   if (r->owed) ++r->ends->fulfilled;
   Unowe(r);
   owners_->Answer(r->origin, id, description);
+  owners_->Stands(r->origin, true);
   agents_->Stands(node, id, true);
   Post(passbridge::Placed{handle, r->attempts - 1, node, loop_->Now() - r->sent});
 }
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -115,6 +115,7 @@
   template <typename Say>
   void Settle(Request* r, std::uint64_t Ends::*as, Say say);
   void Unowe(Request* r);
+  void MoveOrigin(Request* r, Handle origin);
   void GiveUp(Handle handle, Request* r, passbridge::Outcome outcome);
   void EndAttempt(Handle handle, Request* r, passbridge::Outcome outcome, passbridge::Reason reason,
                   passbridge::Report report);
--- a/src/engine/orders.cpp
+++ b/src/engine/orders.cpp
@@ -135,6 +135,7 @@
 }
 
 void Engine::FinishStanding(Handle handle, Request* r, Outcome outcome, Reason reason, bool tell) {
+  owners_->Stands(r->origin, false);
   agents_->Stands(r->node, r->id, false);
   if (sites_ != nullptr) sites_->TaskOver(r->task.cores, r->task.memory, loop_->Now());
   if (tell) owners_->Release(r->origin, r->id, outcome == Outcome::kOk ? Over::kEnded : Over::kCut);
--- a/src/engine/ports.h
+++ b/src/engine/ports.h
@@ -56,6 +56,9 @@
   virtual void Fail(Handle origin, TaskId id, Over over) = 0;
   virtual void Release(Handle origin, TaskId id, Over over) = 0;
   virtual void Move(Handle origin, TaskId id) = 0;
+  // A task that came by this way stands, or (false) no more: its client waits there for the end, so that the
+  // way is kept as long as any does.
+  virtual void Stands(Handle origin, bool stands) = 0;
   // Whether the client still waits there, by all that has come of its connection, also what was not read yet.
   // Where bytes lie unread the answer is no until they have been read; `read_by` holds up to where, from one
   // call to the next, and is 0 at first.
--- a/src/front/answer.cpp
+++ b/src/front/answer.cpp
@@ -29,6 +29,10 @@
   return owner->connection.get();
 }
 
+void Front::Stands(Handle origin, bool stands) {
+  if (Owner* owner = owners_.Get(origin)) owner->standing += stands ? 1 : -1;
+}
+
 bool Front::StillWaits(Handle origin, std::uint64_t* read_by) {
   Owner* owner = owners_.Get(origin);
   if (owner == nullptr || owner->leaving > 0) return false;  // what was open on it is being given up
@@ -71,28 +75,27 @@
   Writer(connection->out(), Type::kRelease, id).Add(CauseOf(over));
 }
 
+// The one that the task came by, where its client waits for the end; null where it is gone, or has fallen
+// silent with this end.
+Front::Owner* Front::OwnWay(const OwedEnds::End& end) {
+  Owner* own = end.own != end.shunned ? owners_.Get(end.own) : nullptr;
+  return own != nullptr && own->leaving == 0 ? own : nullptr;
+}
+
 // What ends a task that stands may go on any connection. Guards against one that does not read it: first come
 // those that were served, as bad clients never are; of these such as cannot be closing right now; then the
-// task's own; then the one heard of last.
-Front::Owner* Front::AnyWay(Handle preferred, Handle shunned) {
+// one heard of last.
+Front::Owner* Front::AnyWay(Handle shunned) {
   const Time now = loop_->Now();
-  const auto rank = [&](Handle handle, const Owner& owner) {
+  const auto rank = [now](const Owner& owner) {
     const Time heard = owner.connection->last_traffic;
-    return std::tuple(owner.trusted, !owner.open.empty() || now - heard < kMayBeClosing, handle == preferred,
-                      heard);
+    const bool stays = !owner.open.empty() || owner.standing > 0 || now - heard < kMayBeClosing;
+    return std::tuple(owner.trusted, stays, heard);
   };
-  // The task's own way, where it is a good one, is the first of all: no need to look at the others.
-  if (Owner* own = owners_.Get(preferred);
-      own != nullptr && own->leaving == 0 && own->trusted && std::get<1>(rank(preferred, *own))) {
-    return own;
-  }
   Owner* best = nullptr;
-  Handle best_handle = 0;
   owners_.ForEach([&](Handle handle, Owner& owner) {
     if (owner.leaving > 0 || handle == shunned) return;
-    if (best != nullptr && rank(handle, owner) <= rank(best_handle, *best)) return;
-    best = &owner;
-    best_handle = handle;
+    if (best == nullptr || rank(owner) > rank(*best)) best = &owner;
   });
   return best;
 }
@@ -101,12 +104,14 @@
   if (!std::exchange(owner->trusted, true) && ends_.waiting() > 0) SendOwed();
 }
 
-bool Front::TrySend(Handle origin, const OwedEnds::End& end) {
+bool Front::TrySend(const OwedEnds::End& end) {
+  Owner* const own = OwnWay(end);
+  Owner* owner = own != nullptr ? own : AnyWay(end.shunned);
   // Where the only way left is the one that fell silent, that one is better than none.
-  Owner* owner = AnyWay(origin, end.shunned);
-  if (owner == nullptr && end.shunned != 0) owner = AnyWay(origin, 0);
+  if (owner == nullptr && end.shunned != 0) owner = AnyWay(0);
   const Time now = loop_->Now();
-  if (owner == nullptr || (!owner->trusted && now - end.since < kHeldMost)) return false;
+  const bool proven = owner != nullptr && (owner->trusted || owner == own);
+  if (owner == nullptr || (!proven && now - end.since < kHeldMost)) return false;
   // Guards against an end that is told to a bad client alone: there only its word counts as read.
   ends_.Written(end.task, owner->connection->tag, owner->confirms || !owner->trusted, now);
   const auto type = static_cast<Type>(end.kind);
@@ -117,8 +122,8 @@
 
 void Front::Send(Handle origin, Type type, TaskId id, Cause cause) {
   const Time now = loop_->Now();
-  ends_.Owe(id, static_cast<int>(type), static_cast<int>(cause), now);
-  if (!TrySend(origin, {id, static_cast<int>(type), static_cast<int>(cause), now, 0, 0, 0, false})) {
+  ends_.Owe(id, static_cast<int>(type), static_cast<int>(cause), now, origin);
+  if (!TrySend({id, static_cast<int>(type), static_cast<int>(cause), now, 0, 0, 0, false, origin})) {
     ++counters.releases_held;
   }
 }
@@ -131,9 +136,14 @@
   return left;
 }
 
+// What is owed for longer is sent first. Where one finds no way among all, those behind it find none either
+// but their own.
 void Front::SendOwed() {
+  bool none_left = false;
   for (const OwedEnds::End& end : ends_.Waiting()) {
-    if (!TrySend(0, end)) return;  // what is owed for longer is sent first, and the same ways are open to all
+    const bool has_own = OwnWay(end) != nullptr;
+    if (none_left && !has_own) continue;
+    if (!TrySend(end) && !has_own) none_left = true;
   }
 }
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -66,17 +66,18 @@
 // Guards against connections by the hundred that say nothing, or ask once and stay: the descriptors that
 // agents and the bulletin need are never given to owners, who hold no more than a third of all by themselves.
 // The first to go is who leaves already, then who has said nothing for longest, then who has had nothing open
-// for longest, then who has just come, or is in the middle of a message or of reading. Whose set-up has come
-// and was not read yet does not go.
+// for longest, then who has just come, or is in the middle of a message or of reading, or waits for the end
+// of a task that stands. Whose set-up has come and was not read yet does not go.
 void Front::Prune() {
   const Time now = loop_->Now();
-  constexpr int kFreshOne = 3, kStays = 4;
+  constexpr int kFreshOne = 3, kWaitsForEnd = 4, kStays = 5;
   const auto rank = [&](const Owner& owner) -> std::pair<int, Time> {
     if (owner.leaving > 0) return {0, owner.leaving};
     const Connection& connection = *owner.connection;
     if (!owner.open.empty()) return {kStays, connection.last_traffic};
     if (connection.unfinished_since > 0 || !connection.flushed()) return {kFreshOne, owner.since};
     if (!owner.spoke) return {now - owner.since < kFresh ? kFreshOne : 1, owner.since};
+    if (owner.standing > 0) return {kWaitsForEnd, connection.last_traffic};
     return {2, connection.last_traffic};
   };
   Handle victim = 0, newest = 0;
@@ -162,8 +163,9 @@
   const bool in_message = unfinished > 0 && connected < kFirstWordMost;
   // Where it is slow to read, the rest of its message may wait for us and not for it.
   const bool unfinished_for_long = unfinished > 0 && connection.flushed() && now - unfinished >= kUnfinished;
-  const bool overdue = unfinished_for_long || (!owner->spoke && connected >= kFirstWord && !in_message) ||
-                       (owner->open.empty() && now - connection.last_traffic >= kIdle);
+  const bool overdue =
+      unfinished_for_long || (!owner->spoke && connected >= kFirstWord && !in_message) ||
+      (owner->open.empty() && owner->standing == 0 && now - connection.last_traffic >= kIdle);
   if (!overdue) {
     owner->passed_over = false;
     return false;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -54,6 +54,7 @@
   void Fail(Handle origin, TaskId id, Over over) override;
   void Release(Handle origin, TaskId id, Over over) override;
   void Move(Handle origin, TaskId id) override;
+  void Stands(Handle origin, bool stands) override;
   bool StillWaits(Handle origin, std::uint64_t* read_by) override;
 
  private:
@@ -61,6 +62,7 @@
     std::unique_ptr<Connection> connection;
     Time since = 0;               // it connected
     std::vector<TaskId> open;     // set-ups without an answer
+    int standing = 0;             // tasks that came by it and stand
     bool trusted = false;         // a task of its was served
     bool spoke = false;           // sent something that usual owners send
     bool confirms = false;        // has said that it heard a release
@@ -78,9 +80,10 @@
   bool ReadSetUp(const proto::Message& message, SetUp* set_up) const;
   bool ReadFigures(std::string_view text, SetUp* set_up) const;
   Connection* Settled(Handle origin, TaskId id);
-  Owner* AnyWay(Handle preferred, Handle shunned);
+  Owner* OwnWay(const OwedEnds::End& end);
+  Owner* AnyWay(Handle shunned);
   void Trusted(Owner* owner);
-  bool TrySend(Handle origin, const OwedEnds::End& end);
+  bool TrySend(const OwedEnds::End& end);
   void Send(Handle origin, proto::Type type, TaskId id, proto::Cause cause);
   void SendOwed();
   void Dismiss(Handle handle, Connection::Rest rest = Connection::Rest::kReadOn);
--- a/src/front/receive.cpp
+++ b/src/front/receive.cpp
@@ -67,7 +67,10 @@
       return true;
     case Type::kReleaseHeard:
       ++counters.owner_heard;
-      if (ends_.Heard(m.task, connection.tag)) owner->confirms = true;
+      if (ends_.Heard(m.task, connection.tag)) {
+        owner->confirms = true;
+        Trusted(owner);
+      }
       return true;
     default:  // free, or of no meaning here
       return true;
@@ -97,8 +100,9 @@
   if (s.at) {
     ++counters.setups_at;
     if (!events_->OnSetUp(std::move(s))) return Verdict::kRejected;
+    // Guards against ends that are told to a bad client: anybody can name a task that no node has, so that
+    // this does not make it one of those that were served.
     owner->spoke = true;
-    Trusted(owner);
     return Verdict::kTaken;
   }
   if (door_ == Door::kEmptying) KeepOneForEnds();
