Take an answer for a request that is not out as nothing, and keep an address that was known

The new test fails without the check (null pointer, found by UBSan). Pool::Know overwrote a known address by what could not be read; the list's reader passes none such on any more, the hole is closed.

--- a/src/agents/pool.cpp
+++ b/src/agents/pool.cpp
@@ -27,7 +27,11 @@
   Peer& peer = peers_[node.entry.node];
   const sockaddr_in before = peer.address;
   peer.came_up = node.entry.came_up;
-  peer.known = ParseAddress(node.endpoint, &peer.address) || peer.known;
+  // Guards against an endpoint that cannot be read: what was known of the address stays.
+  if (sockaddr_in address{}; ParseAddress(node.endpoint, &address)) {
+    peer.address = address;
+    peer.known = true;
+  }
   // Guards against addresses that are used again: nothing dials a node that has gone, since another may
   // answer there.
   peer.gone = node.entry.state == passbridge::NodeState::kGone;
--- a/src/decide/attempts.h
+++ b/src/decide/attempts.h
@@ -145,7 +145,7 @@
   }
   void On(const Placed& e) {
     Request* r = requests.Find(e.id);
-    if (r == nullptr) return;
+    if (r == nullptr || !r->out) return;
     r->placed = true;
     r->owed = false;
     Node* n = table.Find(r->node);
--- a/tests/logic_operations_test.cpp
+++ b/tests/logic_operations_test.cpp
@@ -17,6 +17,18 @@
   return s;
 }
 
+// An answer that crosses the end of its attempt: the adapter tells them in the order in which they came.
+TEST(CrossedEvents, AnAnswerToARequestThatIsNotOutChangesNothing) {
+  Driver d(Quiet());
+  d.Roster({Entry(1, 0.1, 32)});
+  EXPECT_TRUE(Only<Offer>(d.Arrive("held")).empty());
+  EXPECT_TRUE(d.Send(Placed{Id("held"), 0, 1, kMs}).empty());
+  d.now += kSecond;
+  const auto offers = Only<Offer>(d.Roster({Entry(1)}, RosterKind::kDelta));
+  ASSERT_EQ(offers.size(), 1U);
+  EXPECT_EQ(offers[0].id, Id("held"));
+}
+
 TEST(SettingsChange, ANewClassIsServedByItsRules) {
   Driver d(Basic());
   NodeEntry other = Entry(2, 32, 64);
