Start the thread of the exchange only where it is asked or another process can run beside

The second thread was ours: Exchange's constructor started it wherever an operators' address is configured, to look every 25 ms for what another process of the same cluster manager writes. Such a process can only be there where the listening socket is inherited. Elsewhere the files are read once at the start, as before, and the thread begins with the first change to write. Not proven that the fault cannot come with one thread; it was not seen with one. Also: a connection whose client only claims tasks is closed before one that was served, when descriptors run out.

--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -13,6 +13,12 @@
   for (std::size_t i = 0; i < kept_.size(); ++i) {
     if (auto text = kept_[i].file.Changed()) kept_[i].news = News{i, std::move(text), 0, 0};
   }
+}
+
+void Exchange::Follow() { StartThread(); }
+
+void Exchange::StartThread() {
+  if (thread_.joinable()) return;
   // Signals are the loop's.
   sigset_t all;
   sigset_t before;
@@ -27,6 +33,7 @@
     const std::lock_guard lock(mutex_);
     kept_[file].asked = Asked{number, std::move(change)};
   }
+  StartThread();
   something_.notify_one();
 }
 
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -31,12 +31,14 @@
 
   // Looks at all files once before it returns: what they hold then is news. `wake` is called on the thread
   // when there is news after there was none; `look_every` is how often it looks whether others changed them.
+  // There is no thread, and nobody looks, until Follow() or the first Ask().
   Exchange(const std::vector<std::string>& paths, std::chrono::milliseconds look_every,
            std::function<void()> wake);
   ~Exchange() { Finish(); }
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
 
+  void Follow();  // what others write is news from now on
   // The change is made soon, on the thread, under this number (higher than those before); it must hold by
   // itself all that earlier ones wanted and that is not known to be written.
   void Ask(std::size_t file, std::uint64_t number, SharedFile::Change change);
@@ -53,6 +55,7 @@
     std::optional<Asked> asked;
     std::optional<News> news;
   };
+  void StartThread();
   void Work();
   void Tell(std::size_t file, News news);
 
--- a/src/front/front.cpp
+++ b/src/front/front.cpp
@@ -64,10 +64,11 @@
 }
 
 // Guards against connections by the hundred that say nothing, or ask once and stay: the descriptors that
-// agents and the bulletin need are never given to owners, who hold no more than a third of all by themselves.
+// nodes and discovery need are never given to clients, who hold no more than a third of all by themselves.
 // The first to go is who leaves already, then who has said nothing for longest, then who has had nothing open
-// for longest, then who has just come, or is in the middle of a message or of reading, or waits for the end
-// of a task that stands. Whose set-up has come and was not read yet does not go.
+// for longest, then who has just come, or is in the middle of a message or of reading, then who was served
+// and waits for the end of a task (anybody can claim one). Whose set-up has come and was not read yet does
+// not go.
 void Front::Prune() {
   const Time now = loop_->Now();
   constexpr int kFreshOne = 3, kWaitsForEnd = 4, kStays = 5;
@@ -77,7 +78,7 @@
     if (!owner.open.empty()) return {kStays, connection.last_traffic};
     if (connection.unfinished_since > 0 || !connection.flushed()) return {kFreshOne, owner.since};
     if (!owner.spoke) return {now - owner.since < kFresh ? kFreshOne : 1, owner.since};
-    if (owner.standing > 0) return {kWaitsForEnd, connection.last_traffic};
+    if (owner.standing > 0 && owner.trusted) return {kWaitsForEnd, connection.last_traffic};
     return {2, connection.last_traffic};
   };
   Handle victim = 0, newest = 0;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -27,14 +27,12 @@
   // How many descriptors the process may hold; owners get five eighths of them, agents most of the rest.
   void SetMost(int sockets) { most_ = static_cast<std::size_t>(std::max(sockets * 5 / 8, 1)); }
   // What the door is like for owners.
-  //   kStarting    tests fail, all else is as with kOpen
-  //   kOpen        tests are passed, connections stay as long as owners keep them
-  //   kEmptying    by an operator: tests fail, a connection is closed once it is quiet; who comes is served
-  //   kHandingOver another process serves at this address from now on: nobody is accepted here any more,
-  //   tests
-  //                are passed (the cluster manager is ready, if not by this process), quiet connections
-  //                closed
-  //   kLeaving     a planned restart: tests fail, all else goes on until Finish()
+  //   kStarting     tests fail, all else is as with kOpen
+  //   kOpen         tests are passed, connections stay as long as clients keep them
+  //   kEmptying     by an operator: tests fail, a quiet connection is closed, who comes is served
+  //   kHandingOver  another process serves at this address from now on: nobody is accepted any more, tests
+  //                 pass, as the cluster manager is ready, and quiet connections are closed
+  //   kLeaving      a planned restart: tests fail, all else goes on until Finish()
   enum class Door { kStarting, kOpen, kEmptying, kHandingOver, kLeaving };
   void Set(Door door);
   Door door() const { return door_; }
--- a/src/roles/serving.cpp
+++ b/src/roles/serving.cpp
@@ -190,6 +190,8 @@
     // What an earlier process has passed on is not for this one; its bans are.
     if (news.file == kRotationFile && config_.admin) rotation_.Read(*news.text, 0, loop_.Now());
   }
+  // Only where a socket is inherited can another process of this cluster manager run beside this one.
+  if (inherited()) exchange_->Follow();
 }
 
 void Serving::SayUnwritten(int error) {
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -147,6 +147,29 @@
   std::filesystem::remove_all(folder);
 }
 
+TEST_CASE("the exchange has no thread until somebody asks it or wants to follow others") {
+  std::string folder = (std::filesystem::temp_directory_path() / "willowrail-file-XXXXXX").string();
+  REQUIRE(::mkdtemp(folder.data()) != nullptr);
+  const auto threads = [] {
+    const std::filesystem::directory_iterator tasks("/proc/self/task");
+    return std::distance(begin(tasks), end(tasks));
+  };
+  const auto before = threads();
+  {
+    Exchange exchange({folder + "/f"}, std::chrono::milliseconds(1), [] {});
+    CHECK(threads() == before);
+    SUBCASE("asked") {
+      exchange.Ask(0, 1, [](const auto&) { return "x"; });
+    }
+    SUBCASE("following") { exchange.Follow(); }
+    CHECK(threads() == before + 1);
+    exchange.Follow();
+    CHECK(threads() == before + 1);
+  }
+  CHECK(threads() == before);
+  std::filesystem::remove_all(folder);
+}
+
 TEST_CASE("a ban holds over the list and comes back cold, a node under a new uid is not banned") {
   Rotation rotation([](std::string_view id) { return static_cast<Rotation::NodeId>(id.back() - '0'); });
   passbridge::NodeEntry entry;
