Write to a full connection of a node again rather than dial without a bound beside it

Cause: Pool::Usable left out connections that wait for room, so that each full one led to another dial (Pool::Place, no best one), each with buffers of its own in the kernel: unbounded for a node that does not read.

--- a/src/agents/sending.cpp
+++ b/src/agents/sending.cpp
@@ -22,11 +22,10 @@
 }  // namespace
 
 // Whether something may be written there. Guards against a set-up that crosses an idle close, which would
-// count as one that may have run; against one that the other side's end, unread so far, has overtaken; and
-// against one that waits behind bytes which the node does not read, while it drains or its client leaves.
+// count as one that may have run, and against one that the other side's end, unread so far, has overtaken.
 bool Pool::Usable(const Line& line) {
   const Connection& connection = *line.connection;
-  if (!connection.up() || connection.blocked()) return false;
+  if (!connection.up()) return false;
   if (loop_->Now() - connection.last_traffic >= times_.keepalive - kIdleMargin) return false;
   return connection.LookAhead() != Incoming::kEnd;
 }
