--- a/src/agreement/agreement.cpp
+++ b/src/agreement/agreement.cpp
@@ -156,7 +156,8 @@
     ++counters_.wrong_sender;
     return false;
   }
-  const bool hello = message.kind == MessageKind::kHello, where = message.kind == MessageKind::kWhere;
+  const bool hello = message.kind == MessageKind::kHello;
+  const bool where = message.kind == MessageKind::kWhere;
   if (!hello && message.to_identity != state_.identity) {
     ++counters_.other_identity;
     return false;
--- a/src/agreement/message.cpp
+++ b/src/agreement/message.cpp
@@ -15,10 +15,12 @@
 // without a bound, so it only gets to see what passes here.
 bool Flat(const Bytes& bytes, std::size_t most_items) {
   std::size_t at = 0;
-  std::uint64_t items = 0, seen = 0;
+  std::uint64_t items = 0;
+  std::uint64_t seen = 0;
   for (bool head = true; head || seen < items; head = false) {
     if (at >= bytes.size()) return false;
-    const int major = bytes[at] >> 5, info = bytes[at] & 31;
+    const int major = bytes[at] >> 5;
+    const int info = bytes[at] & 31;
     ++at;
     std::uint64_t value = static_cast<std::uint64_t>(info);
     if (info >= 24) {
@@ -79,7 +81,7 @@
   for (const Member& member : members) {
     out->push_back(member.number);
     out->push_back(member.identity);
-    out->push_back(member.voter ? 1u : 0u);
+    out->push_back(member.voter ? 1U : 0U);
   }
 }
 
--- a/src/budgets/budget_file.cpp
+++ b/src/budgets/budget_file.cpp
@@ -66,7 +66,8 @@
       Wrong(here, "is " + value.dump() + ", write a number from " + Plain(least) + " to " + Plain(most));
       return false;
     }
-    const double scaled = number * unit, whole = std::round(scaled);
+    const double scaled = number * unit;
+    const double whole = std::round(scaled);
     if (std::abs(scaled - whole) > std::max(1e-6, whole * 1e-15)) {
       Wrong(here, "is " + value.dump() + ", write a multiple of " + json(1 / unit).dump());
       return false;
@@ -153,8 +154,11 @@
     std::vector<std::string> names;
     for (const Member& member : to->members) names.push_back(member.name);
     if (read->Object(each["floors"], place + ".floors", names)) {
-      for (const auto& [member, value] : each["floors"].items())
-        read->Exact(value, place + ".floors." + member, 0, 1e9, kMillion, &rule.stated_floors[member]);
+      for (const auto& [member, value] : each["floors"].items()) {
+        std::string here = place;
+        here.append(".floors.").append(member);
+        read->Exact(value, here, 0, 1e9, kMillion, &rule.stated_floors[member]);
+      }
     }
   }
   to->rules.push_back(std::move(rule));
--- a/src/budgets/budget_file.h
+++ b/src/budgets/budget_file.h
@@ -64,7 +64,7 @@
 
   // The first rule for this name and key; -1 where there is none: not budgeted.
   int Find(const std::string& name, const std::string& key) const;
-  Micro Floor(int rule, MemberId member) const;
+  Micro Floor(int rule_index, MemberId id) const;
   const Member* Of(MemberId member) const;
 };
 
--- a/src/budgets/division.cpp
+++ b/src/budgets/division.cpp
@@ -26,7 +26,8 @@
     for (std::size_t i = 0; i < n; ++i) sum += AtLevel(claims[i], needs[i], level, grain);
     return sum;
   };
-  std::int64_t low = 0, high = 1;
+  std::int64_t low = 0;
+  std::int64_t high = 1;
   for (const Micro need : needs) high = std::max(high, need);
   if (sum_at(high) <= pool) {
     low = high;
@@ -104,10 +105,12 @@
   const Micro sum = std::accumulate(claims.begin(), claims.end(), Micro{0},
                                     [](Micro s, const Claim& c) { return s + c.current; });
   const bool too_much = sum > pool;
-  std::vector<Micro> parts(n), wishes(n, 0);
+  std::vector<Micro> parts(n);
+  std::vector<Micro> wishes(n, 0);
   Micro used = 0;
   for (std::size_t i = 0; i < n; ++i) {
-    const Micro current = claims[i].current, wanted = ideal[i];
+    const Micro current = claims[i].current;
+    const Micro wanted = ideal[i];
     const Micro apart = wanted > current ? wanted - current : current - wanted;
     // A part of nothing, and one that is needed and would be nothing, are no matter of a few percent.
     const bool alike = wanted > 0 && current > 0 &&
--- a/src/budgets/part.cpp
+++ b/src/budgets/part.cpp
@@ -267,10 +267,12 @@
   need.epoch = holding->epoch;
   const Micro lent = Valid(*holding, now) ? holding->lent : 0;
   need.uses = lent;
-  double seen = 0, forecast = 0;
+  double seen = 0;
+  double forecast = 0;
   if (rule.kind == Kind::kRate) {
     const double window = static_cast<double>(rule.window) / kSecond;
-    const double fast = holding->fast.PerSecond(now) * window, slow = holding->slow.PerSecond(now) * window;
+    const double fast = holding->fast.PerSecond(now) * window;
+    const double slow = holding->slow.PerSecond(now) * window;
     seen = std::max(fast, slow);
     forecast = seen + std::max(0.0, fast - slow);  // it grows: as much again
   } else {
@@ -324,7 +326,8 @@
       continue;
     }
     const Need need = NeedOf(key, &holding, now);
-    const Micro most = std::max(need.seen, holding.told_need), least = std::min(need.seen, holding.told_need);
+    const Micro most = std::max(need.seen, holding.told_need);
+    const Micro least = std::min(need.seen, holding.told_need);
     const bool moved = static_cast<double>(most - least) * kUnit >
                        static_cast<double>(most) * static_cast<double>(file_.hysteresis);
     const bool news = !holding.told || moved || holding.told_epoch != holding.epoch;
--- a/src/budgets/part.h
+++ b/src/budgets/part.h
@@ -37,27 +37,27 @@
   Part(const BudgetFile& file, const Start& start, Time now);
 
   // False: not now. Counts as need, so ask once for each thing to be done.
-  bool Take(const Key& key, Micro amount, Time now);
-  void GiveBack(const Key& key, Micro amount, Time now);  // a level; of an amount, what was not used
-  void Settle(const Key& key, Micro amount);              // of an amount: spent for good
-  void Want(const Key& key, Micro amount, Time now);      // of an amount: this much to be at hand
+  bool Take(const Key& key, Micro amount, Time at);
+  void GiveBack(const Key& key, Micro amount, Time at);  // a level; of an amount, what was not used
+  void Settle(const Key& key, Micro amount);             // of an amount: spent for good
+  void Want(const Key& key, Micro amount, Time at);      // of an amount: this much to be at hand
   // The right at this moment, used or not: floor and valid lease; of an amount, what is left of it.
   Micro Right(const Key& key, Time now) const;
   Micro Held(const Key& key) const;
 
   // False: for another, or nothing new in it.
-  bool Hear(const Word& word, Time now);
+  bool Hear(const Word& word, Time at);
   // By membership: whether this member sees a majority and is not barred. Changes what it says, not its
   // rights.
   void Majority(bool has, Time now);
   // Its own clock is apart by more than the skew: the ends of what is lent mean nothing to it, so it uses
   // none.
   void ClockApart(bool apart) { clock_apart_ = apart; }
-  std::string Says(Time now) const;
+  std::string Says(Time at) const;
 
   // What the ledger should be told, where something is due: at most one a `report`.
-  std::optional<Command> Tell(Time now);
-  Command Leave(Time now);  // gives all back and takes no more of what is lent
+  std::optional<Command> Tell(Time at);
+  Command Leave(Time at);  // gives all back and takes no more of what is lent
 
   // To be durable before the next Tell may confirm it: Save, then Saved.
   bool unsaved() const { return version_ > saved_; }
--- a/src/ends/owed_ends.h
+++ b/src/ends/owed_ends.h
@@ -38,7 +38,7 @@
   // An owner that confirms others does so at once: this one is on a way that has fallen silent.
   static constexpr Time kUnconfirmed = 1'000'000'000;
   static constexpr Time kKept = 30'000'000'000;
-  static constexpr std::size_t kMost = 16 * 1024;  // some 100 bytes each
+  static constexpr std::size_t kMost = std::size_t{16} * 1024;  // some 100 bytes each
 
   struct End {
     std::uint64_t task = 0;
--- a/src/exchange/exchange.cpp
+++ b/src/exchange/exchange.cpp
@@ -14,7 +14,8 @@
     if (auto text = kept_[i].file.Changed()) kept_[i].news = News{i, std::move(text), 0, 0};
   }
   // Signals are the loop's.
-  sigset_t all, before;
+  sigset_t all;
+  sigset_t before;
   sigfillset(&all);
   pthread_sigmask(SIG_SETMASK, &all, &before);
   thread_ = std::thread([this] { Work(); });
--- a/src/exchange/shared_file.cpp
+++ b/src/exchange/shared_file.cpp
@@ -31,7 +31,7 @@
   }
   Opened(const Opened&) = delete;
   Opened& operator=(const Opened&) = delete;
-  void Lock() {
+  void Lock() const {
     while (::flock(file_, LOCK_EX) != 0 && errno == EINTR) {
     }
   }
--- a/src/lang/diagnostic.cpp
+++ b/src/lang/diagnostic.cpp
@@ -78,8 +78,9 @@
   std::size_t least = std::max<std::size_t>(1, word.size() / 3) + 1;
   for (const std::string_view candidate : words) {
     if (candidate.size() > kLongest) continue;
-    std::vector<std::size_t> before(candidate.size() + 1), last(candidate.size() + 1),
-        row(candidate.size() + 1);
+    std::vector<std::size_t> before(candidate.size() + 1);
+    std::vector<std::size_t> last(candidate.size() + 1);
+    std::vector<std::size_t> row(candidate.size() + 1);
     for (std::size_t j = 0; j <= candidate.size(); ++j) last[j] = j;
     for (std::size_t i = 1; i <= word.size(); ++i) {
       row[0] = i;
@@ -102,7 +103,7 @@
 }
 
 const std::vector<Explanation>& Explanations() {
-  static const std::vector<Explanation> all = {
+  static const std::vector<Explanation> kAll = {
       {"L001", "a character that begins nothing",
        "Outside of strings and comments a text is made of names, numbers, strings and the signs { } [ ] ( ) "
        "= , + - * /.\n"
@@ -155,7 +156,7 @@
        "Only numbers and quantities can be reckoned with."},
       {"T003", "a result that is no number", "Division by 0, or more than a number can be."},
   };
-  return all;
+  return kAll;
 }
 
 const Explanation* Explain(std::string_view code) {
--- a/src/lang/evaluator.cpp
+++ b/src/lang/evaluator.cpp
@@ -131,7 +131,8 @@
 }
 
 Datum Evaluator::Sum(const Value& v) {
-  const Datum left = Of(v.parts[0]), right = Of(v.parts[1]);
+  const Datum left = Of(v.parts[0]);
+  const Datum right = Of(v.parts[1]);
   Datum d;
   d.span = v.span;
   if (left.type == Type::kBroken || right.type == Type::kBroken) return d;
--- a/src/lang/lexer.cpp
+++ b/src/lang/lexer.cpp
@@ -24,11 +24,13 @@
   if (first < 0x80) return 1;
   if (first >= 0xC2 && first <= 0xDF) return follows(1) ? 2 : 0;
   if (first >= 0xE0 && first <= 0xEF) {
-    const unsigned char low = first == 0xE0 ? 0xA0 : 0x80, high = first == 0xED ? 0x9F : 0xBF;
+    const unsigned char low = first == 0xE0 ? 0xA0 : 0x80;
+    const unsigned char high = first == 0xED ? 0x9F : 0xBF;
     return follows(1, low, high) && follows(2) ? 3 : 0;
   }
   if (first >= 0xF0 && first <= 0xF4) {
-    const unsigned char low = first == 0xF0 ? 0x90 : 0x80, high = first == 0xF4 ? 0x8F : 0xBF;
+    const unsigned char low = first == 0xF0 ? 0x90 : 0x80;
+    const unsigned char high = first == 0xF4 ? 0x8F : 0xBF;
     return follows(1, low, high) && follows(2) && follows(3) ? 4 : 0;
   }
   return 0;
@@ -261,13 +263,13 @@
 }  // namespace
 
 const std::vector<Unit>& Units() {
-  static const std::vector<Unit> all = {
+  static const std::vector<Unit> kAll = {
       {"ms", Dimension::kTime, 1},         {"s", Dimension::kTime, 1000},
       {"min", Dimension::kTime, 60'000},   {"h", Dimension::kTime, 3'600'000},
       {"cores", Dimension::kCores, 1},     {"KiB", Dimension::kBytes, 1024},
       {"MiB", Dimension::kBytes, 1048576}, {"GiB", Dimension::kBytes, 1073741824},
       {"/s", Dimension::kRate, 1},         {"%", Dimension::kShare, 0.01}};
-  return all;
+  return kAll;
 }
 
 const Unit* FindUnit(std::string_view name) {
--- a/src/lang/resolver.h
+++ b/src/lang/resolver.h
@@ -23,8 +23,11 @@
 };
 
 // Bounds of one program; each has its error.
-constexpr std::size_t kMostFiles = 256, kMostIncludeDepth = 16;
-constexpr std::size_t kMostFileBytes = 4 * 1024 * 1024, kMostBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMostFiles = 256;
+constexpr std::size_t kMostIncludeDepth = 16;
+constexpr std::size_t kMiB = std::size_t{1024} * 1024;
+constexpr std::size_t kMostFileBytes = 4 * kMiB;
+constexpr std::size_t kMostBytes = 16 * kMiB;
 
 struct Program {
   std::vector<Source> sources;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -121,7 +121,8 @@
   if (row->state != State::kSuspected || now - row->since < terms_.confirm) return;
   // The others that are heard must have told, since the suspicion, that they hear nothing of it either: all
   // of them within a gap more, or most of them after. Hearing nobody, the loss may be ours.
-  std::size_t asked = 0, agree = 0;
+  std::size_t asked = 0;
+  std::size_t agree = 0;
   for (const auto& [other, its] : rows_) {
     if (other == member || !Heard(its, now)) continue;
     ++asked;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -53,7 +53,7 @@
 // A life: `incarnation` grows with each start, `word` each time the member refutes that it is dead.
 struct Life {
   std::uint64_t incarnation = 0, word = 0;
-  auto operator<=>(const Life&) const = default;
+  auto operator<=>(const Life&) const = default;  // NOLINT(modernize-use-nullptr): no pointer here
 };
 
 struct Beat {
--- a/src/proto/message.h
+++ b/src/proto/message.h
@@ -52,7 +52,7 @@
   kMoot = 102
 };
 
-constexpr std::size_t kMostBytes = 16 * 1024;
+constexpr std::size_t kMostBytes = std::size_t{16} * 1024;
 
 enum class Step { kMessage, kMore, kMalformed };
 
--- a/src/structures/block_pool.h
+++ b/src/structures/block_pool.h
@@ -15,7 +15,8 @@
   struct Block;
 
  public:
-  static constexpr std::size_t kMostIdleBytes = 256 * 1024;  // of blocks that wait to be used again
+  // Of blocks that wait to be used again.
+  static constexpr std::size_t kMostIdleBytes = std::size_t{256} * 1024;
 
   class Ref {
    public:
--- a/src/structures/hash.h
+++ b/src/structures/hash.h
@@ -24,10 +24,10 @@
 
 // A number in (0, 1) that everybody draws alike for a pair of numbers.
 inline double HashDraw(std::uint64_t a, std::uint64_t b) {
-  std::uint64_t x = a * 0x9E3779B97F4A7C15u + b;
+  std::uint64_t x = a * 0x9E3779B97F4A7C15U + b;
   for (int i = 0; i < 2; ++i) {
-    x = (x ^ (x >> 31)) * 0xBF58476D1CE4E5B9u;
-    x = (x ^ (x >> 29)) * 0x94D049BB133111EBu;
+    x = (x ^ (x >> 31)) * 0xBF58476D1CE4E5B9U;
+    x = (x ^ (x >> 29)) * 0x94D049BB133111EBU;
   }
   return (static_cast<double>(x >> 12) + 0.5) / 4503599627370496.0;
 }
@@ -42,7 +42,8 @@
 // Gives back the memory of a table that was once much fuller. To be called now and then, not per request.
 template <typename Table>
 void Tighten(Table* table) {
-  constexpr std::size_t kSmall = 64, kSpare = 8;
+  constexpr std::size_t kSmall = 64;
+  constexpr std::size_t kSpare = 8;
   if (table->bucket_count() > kSmall && table->size() * kSpare < table->bucket_count()) table->rehash(0);
 }
 
--- a/src/structures/log_buckets.cpp
+++ b/src/structures/log_buckets.cpp
@@ -9,7 +9,7 @@
 using Time = LogBuckets::Time;
 
 const std::array<Time, LogBuckets::kBuckets>& Uppers() {
-  static const auto uppers = [] {
+  static const auto kUppers = [] {
     std::array<Time, LogBuckets::kBuckets> all{};
     for (int i = 0; i < LogBuckets::kBuckets; ++i) {
       all[static_cast<std::size_t>(i)] =
@@ -17,7 +17,7 @@
     }
     return all;
   }();
-  return uppers;
+  return kUppers;
 }
 
 bool IsEmpty(const BucketCounts::Entry& entry) {
--- a/src/structures/log_buckets.h
+++ b/src/structures/log_buckets.h
@@ -36,12 +36,12 @@
 class BucketCounts {
  public:
   static constexpr std::uint32_t kOne = 1024;
-  static constexpr std::uint32_t kMost = 1u << 30;  // of a weight: about a million observations
+  static constexpr std::uint32_t kMost = 1U << 30;  // of a weight: about a million observations
   enum Kind { kExits, kCensored, kStanding, kKinds };
   struct Entry {
     std::uint32_t bucket = 0;
     std::array<std::uint32_t, kKinds> weight{};
-    auto operator<=>(const Entry&) const = default;
+    auto operator<=>(const Entry&) const = default;  // NOLINT(modernize-use-nullptr): no pointer here
   };
 
   // False where the weight met its bound.
--- a/src/structures/ratio_index.cpp
+++ b/src/structures/ratio_index.cpp
@@ -43,7 +43,7 @@
 void RatioIndex::Grow(std::uint32_t slot) {
   if (levels_.empty()) levels_.emplace_back();
   if (slot < levels_[0].size()) return;
-  levels_[0].resize((slot / kFan + 1) * kFan);
+  levels_[0].resize(std::size_t{slot / kFan + 1} * kFan);
   in_lists_.resize(levels_[0].size());
   for (std::size_t level = 1; levels_[level - 1].size() > 1; ++level) {
     if (level == levels_.size()) levels_.emplace_back();
--- a/src/wire/actions.cpp
+++ b/src/wire/actions.cpp
@@ -33,7 +33,7 @@
 }
 
 std::string Hex(const std::string& bytes) {
-  static const char* kDigits = "0123456789abcdef";
+  static constexpr std::string_view kDigits = "0123456789abcdef";
   std::string out;
   for (const char c : bytes) {
     out += kDigits[static_cast<unsigned char>(c) >> 4];
