Log each attempt and list event at a debug level that is off by default

Cause: a set-up that was written to a node which a test does not read could not be traced: no line said to which node an attempt goes, what the list said of it, or when it was written.

Change: ROUTER_LOG_LEVEL=debug adds a line for the choice of a node, for the write of an attempt and for each event of the list. Without the variable nothing is formatted. A level that does not exist is refused at the start with the legal ones.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -127,4 +127,13 @@
   return c;
 }
 
+LogLevel LogLevelFromEnvironment() {
+  const char* level = std::getenv("ROUTER_LOG_LEVEL");
+  if (level == nullptr) return LogLevel::kInfo;
+  const std::string_view name = level;
+  if (name == "info") return LogLevel::kInfo;
+  if (name == "debug") return LogLevel::kDebug;
+  throw ConfigError("ROUTER_LOG_LEVEL is '" + std::string(name) + "', legal are info and debug");
+}
+
 }  // namespace cluster_manager
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "net/log.h"
 #include "net/wheel.h"
 #include "scheduling/scheduler.h"
 
@@ -34,6 +35,9 @@
 // whole or not at all.
 Config ConfigFromEnvironment(const nlohmann::json* first = nullptr);
 
+// The level that ROUTER_LOG_LEVEL names, kInfo without the variable. Throws ConfigError where it names none.
+LogLevel LogLevelFromEnvironment();
+
 // The settings as the simulator's wire writes them: path=value, a tab before each.
 std::string Flatten(const nlohmann::json& settings);
 
--- a/src/discovery/reader.cpp
+++ b/src/discovery/reader.cpp
@@ -245,6 +245,8 @@
     roster_.Apply(*event, EndpointList::Gap::kAccept, &change);
   }
   ++counters.discovery_events;
+  LogDebug("discovery: event %lld taken, %zu entries", static_cast<long long>(change.version),
+           change.nodes.size());
   if (!change.wrong.empty()) ComplainOfEntries(roster_.last(), change);
   asked_ = false;
   Tell(change.full ? EndpointListUpdate::kFull : EndpointListUpdate::kDelta, change);
--- a/src/dispatch/actions.cpp
+++ b/src/dispatch/actions.cpp
@@ -34,9 +34,20 @@
     }
   });
   if (zone_failover_ != nullptr) zone_failover_->Asked(action.node, request->sent);
+  LogAttempt(*request);
   nodes_->StartAttempt(action.node, request->id, request->attempt, request->payload, deadline);
 }
 
+// What the list says of the chosen node, beside what the task needs.
+void Dispatcher::LogAttempt(const Request& request) const {
+  if (!IsDebugLogged()) return;
+  const auto listed = listed_nodes_.find(request.node);
+  const double free_cores = listed == listed_nodes_.end() ? 0 : listed->second.entry.free_cores;
+  LogDebug("attempt %llu: task %016llx of %g cores goes to node %u, %g cores free in the list",
+           static_cast<unsigned long long>(request.attempt), static_cast<unsigned long long>(request.id),
+           request.task.cores, request.node, free_cores);
+}
+
 void Dispatcher::Execute(const scheduling::CheckNodeHealth& action) {
   if (zone_failover_ != nullptr) zone_failover_->Asked(action.node, loop_->Now());
   nodes_->CheckHealth(action.node);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -131,6 +131,7 @@
   void HandleEvent(const scheduling::Event& event);
   void ExecuteAction(const scheduling::Action& action);
   void Execute(const scheduling::StartAttempt& action);
+  void LogAttempt(const Request& request) const;
   void Execute(const scheduling::CancelAttempt& action);
   void Execute(const scheduling::RejectRequest& action);
   void Execute(const scheduling::FailRequest& action);
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -9,9 +9,7 @@
 
 constexpr int kLinesPerSecond = 50;
 
-}  // namespace
-
-void Log(const char* format, ...) {
+void WriteLine(const char* format, va_list arguments) {
   static std::time_t second = 0;
   static int lines = 0, dropped = 0;
   timespec now{};
@@ -26,11 +24,25 @@
     return;
   }
   char text[512];
+  std::vsnprintf(text, sizeof text, format, arguments);
+  std::fprintf(stderr, "%lld.%03ld %s\n", static_cast<long long>(now.tv_sec), now.tv_nsec / 1'000'000, text);
+}
+
+}  // namespace
+
+void Log(const char* format, ...) {
   va_list arguments;
   va_start(arguments, format);
-  std::vsnprintf(text, sizeof text, format, arguments);
+  WriteLine(format, arguments);
+  va_end(arguments);
+}
+
+void LogDebug(const char* format, ...) {
+  if (!IsDebugLogged()) return;
+  va_list arguments;
+  va_start(arguments, format);
+  WriteLine(format, arguments);
   va_end(arguments);
-  std::fprintf(stderr, "%lld.%03ld %s\n", static_cast<long long>(now.tv_sec), now.tv_nsec / 1'000'000, text);
 }
 
 }  // namespace cluster_manager
--- a/src/nodes/attempt_sending.cpp
+++ b/src/nodes/attempt_sending.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "net/counters.h"
+#include "net/log.h"
 #include "nodes/node_connection_pool.h"
 
 namespace cluster_manager {
@@ -102,6 +103,11 @@
       break;
   }
   ++counters.attempts_sent;
+  if (IsDebugLogged()) {
+    LogDebug("attempt %llu: written to node %u at %s, loop iteration %llu",
+             static_cast<unsigned long long>(queued.attempt), node_connection->node,
+             AddressText(record->address).c_str(), static_cast<unsigned long long>(loop_->turn()));
+  }
   record->sent_attempts[queued.id] = {queued.attempt, node_connection->transport->tag, loop_->turn()};
   ++node_connection->unanswered;
   Connection* connection = node_connection->transport.get();
--- a/src/server/serve.cpp
+++ b/src/server/serve.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include "config/config.h"
+#include "net/log.h"
 #include "server/server_process.h"
 
 namespace cluster_manager {
@@ -21,6 +22,7 @@
 
 int Serve(const Files& files) {
   SetHandledSignalsBlocked(true);
+  log_level = LogLevelFromEnvironment();
   ServerProcess process(files, ConfigFromEnvironment());
   SetHandledSignalsBlocked(false);
   process.Run();
--- a/tests/compatibility_config_test.cpp
+++ b/tests/compatibility_config_test.cpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "config/config.h"
+#include "config/config_error.h"
 #include "config/shape.h"
 #include "discovery/roster.h"
 
@@ -337,6 +338,17 @@
   CHECK(c.listen_socket == 9);
 }
 
+TEST_CASE("ROUTER_LOG_LEVEL is info or debug, info without it, and anything else is refused") {
+  CHECK(LogLevelFromEnvironment() == LogLevel::kInfo);
+  {
+    const Variable level("ROUTER_LOG_LEVEL", "debug");
+    CHECK(LogLevelFromEnvironment() == LogLevel::kDebug);
+  }
+  const Variable level("ROUTER_LOG_LEVEL", "Debug");
+  CHECK_THROWS_WITH_AS(LogLevelFromEnvironment(), "ROUTER_LOG_LEVEL is 'Debug', legal are info and debug",
+                       ConfigError);
+}
+
 TEST_CASE("the words of the settings are read as what they mean") {
   json config = Read("router_config.json");
   const std::vector<std::pair<const char*, RetrySafety>> effects = {
