Show the program's log where an integration test fails, and read its statistics whole

Cause: a failing integration test said 'nothing came' and no word of the program. And a test that asked for two counters in turn read each value from statistics that were older by one more print a round, since the rest of each print stayed unread in the pipe.

Change: ProgramLog keeps the lines and prints them, with the last statistics, when an assertion has failed. Counted and Count read one whole print that begins after their signal.

--- a/tests/crossing_site.h
+++ b/tests/crossing_site.h
@@ -127,10 +127,7 @@
     Tell(nodes);
     program->Counted("discovery_events", events);
   }
-  int Count(const std::string& counter) {
-    program->Signal(SIGUSR1);
-    return std::stoi(program->Logged("counter " + counter + " "));
-  }
+  int Count(const std::string& counter) { return std::stoi(program->Statistic(counter)); }
   // The list tells of ever other room at the first node: a refusal for want of cores counts for a while.
   template <typename Done>
   void TellRoomAtFirstUntil(Done done) {
--- a/tests/story.h
+++ b/tests/story.h
@@ -20,6 +20,7 @@
 #include <utility>
 #include <vector>
 
+#include "program_log.h"
 #include "story_peers.h"
 
 namespace cluster_manager::story {
@@ -102,7 +103,7 @@
       std::_Exit(127);
     }
     ::close(log[1]);
-    log_ = log[0];
+    log_.emplace(log[0]);
     port_ = std::stoi(Logged("listens on 127.0.0.1:"));
     if (platform.admin) admin_port_ = std::stoi(Logged("operators are listened to on 127.0.0.1:"));
   }
@@ -111,7 +112,6 @@
       ::kill(process_, SIGKILL);
       ::waitpid(process_, nullptr, 0);
     }
-    ::close(log_);
     std::filesystem::remove_all(folder_);
   }
   Program(const Program&) = delete;
@@ -129,28 +129,20 @@
   }
   void Resume() const { Signal(SIGCONT); }
   // The rest of the first line that holds `text`, read on from the last one found.
-  std::string Logged(const std::string& text) {
-    while (true) {
-      for (std::size_t end = read_.find('\n'); end != std::string::npos; end = read_.find('\n')) {
-        const std::string line = read_.substr(0, end);
-        read_.erase(0, end + 1);
-        const std::size_t at = line.find(text);
-        if (at != std::string::npos) return line.substr(at + text.size());
-      }
-      pollfd wait{log_, POLLIN, 0};
-      REQUIRE_MESSAGE(::poll(&wait, 1, kLimitMs) > 0, "never logged: " << text);
-      char bytes[4096];
-      const ssize_t got = ::read(log_, bytes, sizeof bytes);
-      REQUIRE_MESSAGE(got > 0, "the program ended before it logged: " << text);
-      read_.append(bytes, static_cast<std::size_t>(got));
-    }
+  std::string Logged(const std::string& text) { return log_->Find(text); }
+  // The value of a counter, or (`what`: "size ") the size of a table, taken after this call.
+  std::string Statistic(const std::string& name, const std::string& what = "counter ") {
+    Signal(SIGUSR1);
+    const Statistics statistics = log_->NextStatistics();
+    const auto found = statistics.find(what + name);
+    REQUIRE_MESSAGE(found != statistics.end(), "the program prints no " << what << name);
+    return found->second;
   }
   // Waits until a counter has come to `value`, or a table to a size.
   void Counted(const std::string& counter, int value, const std::string& what = "counter ") {
     std::string last;
     for (int i = 0; i < kLimitMs / 10; ++i) {
-      Signal(SIGUSR1);
-      last = Logged(what + counter + " ");
+      last = Statistic(counter, what);
       if (last == std::to_string(value)) return;
       std::this_thread::sleep_for(std::chrono::milliseconds(10));
     }
@@ -167,8 +159,8 @@
   std::filesystem::path folder_;
   json config_;
   pid_t process_ = -1;
-  int log_ = -1, port_ = 0, admin_port_ = 0;
-  std::string read_;
+  std::optional<ProgramLog> log_;
+  int port_ = 0, admin_port_ = 0;
 };
 
 }  // namespace cluster_manager::story
