--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,10 @@
 	cmake --build $(BENCH) --target standin faults cluster_manager
 	python3 bench/faults/trial.py --build $(BENCH) run $(SCENARIOS) --seeds $(or $(SEEDS),1) --jobs $(or $(JOBS),4)
 
+replay: ## one entry of KNOWN-RED.txt again: make replay ENTRY=1 [COPIES=24] [ROUNDS=4] [BUSY=8] [KEEP=folder]
+	python3 .ci/replay.py "$(ENTRY)" --copies $(or $(COPIES),24) --rounds $(or $(ROUNDS),4) --busy $(or $(BUSY),8) \
+	  $(if $(KEEP),--keep "$(KEEP)")
+
 test: ## the tests but those of KNOWN-RED.txt, with warnings as errors, ASan and UBSan
 	@.ci/setup build test
 	cmake --preset ci
