Send a completion again that lay unread as its connection was reset

Callers saw: the end of a task was told to nobody when the client had not read it for half a second and its connection was reset.

Cause: CompletionQueue::OnConnectionLost took a completion for received by the time since its send. That time was put forward by a look at the connection each 250 ms, so between the 0.5 s and the next look bytes counted as received that nobody had looked at.

Change: the loss of a connection makes every completion pending that is still in the queue. One leaves it as received after two looks 0.5 s apart: its bytes, by position in the stream, are acknowledged by the peer's kernel, and the connection is alive. The queue's test 'later only where the way confirms' called a completion received that no look had seen: it now has the looks, and a case without them in which it is sent again; the other time limits in that file begin at a look.

Why it holds: no conclusion is drawn between looks, whatever their distance.

--- a/src/clients/client_completions.cpp
+++ b/src/clients/client_completions.cpp
@@ -59,10 +59,25 @@
   Connection& transport = *client->transport;
   // A connection that was never served may be anybody's: there only a confirmation counts as received.
   const bool confirming = client->confirms_completions || !client->IsServed();
-  completions_.MarkSent(completion.task, transport.tag, confirming, loop_->Now());
   const Type type = static_cast<Type>(completion.message_type);
-  Writer message(transport.out(), type, completion.task);
-  if (type == Type::kRelease) message.Add(static_cast<Cause>(completion.cause));
+  {
+    Writer message(transport.out(), type, completion.task);
+    if (type == Type::kRelease) message.Add(static_cast<Cause>(completion.cause));
+  }
+  completions_.MarkSent(completion.task, transport.tag, confirming, loop_->Now(),
+                        transport.queued_position());
+}
+
+// A connection whose end has arrived and was not processed yet delivers nothing: what became of the bytes is
+// not known.
+CompletionQueue::Delivery ClientFrontend::DeliveryOf(const CompletionQueue::Completion& completion) {
+  using Delivery = CompletionQueue::Delivery;
+  const ClientConnection* client = connections_.Get(completion.connection);
+  if (client == nullptr) return Delivery::kQueued;
+  const Connection& transport = *client->transport;
+  if (transport.LookAhead() == Incoming::kEnd) return Delivery::kQueued;
+  if (transport.HasDelivered(completion.stream_position)) return Delivery::kAcknowledged;
+  return transport.HasSent(completion.stream_position) ? Delivery::kInFlight : Delivery::kQueued;
 }
 
 void ClientFrontend::QueueCompletion(Handle client_connection, Type type, TaskId id, Cause cause) {
--- a/src/clients/client_frontend.cpp
+++ b/src/clients/client_frontend.cpp
@@ -67,10 +67,9 @@
   });
   for (const Handle handle : closed) Remove(handle);
   for (const Handle handle : timed_out) CloseGracefully(handle);
-  completions_.CheckTimeouts(now, [this](Handle handle) {
-    const ClientConnection* client = connections_.Get(handle);
-    return client != nullptr && client->transport->BackedUp();
-  });
+  using Completion = CompletionQueue::Completion;
+  completions_.CheckTimeouts(now, [this](const Completion& completion) { return DeliveryOf(completion); });
+  counters.completions_assumed_received = completions_.assumed_received();
   counters.completions_expired = completions_.expired();
   counters.completions_dropped_full = completions_.evicted();
   if (completions_.pending() > 0) SendPendingCompletions();
@@ -98,7 +97,7 @@
   connections_.Erase(handle);
   for (const TaskId id : unanswered) events_->OnClientDisconnected(id, handle);
   // A completion that crossed the client's close has not been read: it is sent again.
-  const std::size_t pending_again = completions_.OnConnectionLost(handle, loop_->Now());
+  const std::size_t pending_again = completions_.OnConnectionLost(handle);
   counters.completions_resent += pending_again;
   // The delay keeps completions from going to one client after another while all of them reset.
   if (pending_again == 0 || std::exchange(send_scheduled_, true)) return;
--- a/src/clients/client_frontend.h
+++ b/src/clients/client_frontend.h
@@ -108,6 +108,7 @@
   ClientConnection* FindBestConnection(Handle excluded);
   void MarkServed(ClientConnection* client);
   bool TrySendCompletion(const CompletionQueue::Completion& completion);
+  CompletionQueue::Delivery DeliveryOf(const CompletionQueue::Completion& completion);
   void WriteCompletion(const CompletionQueue::Completion& completion, ClientConnection* client);
   void QueueCompletion(Handle client_connection, protocol::Type type, TaskId id, protocol::Cause cause);
   void SendPendingCompletions();
--- a/src/completion/completion_queue.cpp
+++ b/src/completion/completion_queue.cpp
@@ -1,7 +1,6 @@
 #include "completion/completion_queue.h"
 
 #include <algorithm>
-#include <optional>
 #include <tuple>
 
 namespace cluster_manager {
@@ -12,21 +11,11 @@
 using State = CompletionQueue::State;
 using Time = CompletionQueue::Time;
 
-// The time limit that a sent completion has reached, if any.
-std::optional<Event> ReachedTimeLimit(const Completion& completion, Time now) {
-  const Time since_sent = now - completion.sent_at;
-  if (completion.state == State::kAwaitingConfirmation && since_sent >= CompletionQueue::kConfirmationTimeout)
-    return Event::kConfirmationTimeout;
-  if (completion.state == State::kAwaitingTimeout && since_sent >= CompletionQueue::kCloseDetectionTime)
-    return Event::kAssumedReceived;
-  return std::nullopt;
-}
-
-// What the end of the connection means for a completion that was sent there.
-Event AtConnectionEnd(const Completion& completion, Time now) {
-  const bool may_be_unread = completion.state == State::kAwaitingConfirmation ||
-                             now - completion.sent_at < CompletionQueue::kCloseDetectionTime;
-  return may_be_unread ? Event::kConnectionLost : Event::kAssumedReceived;
+// Whether the next look at a sent completion may find its time limit reached, or has to note that it has been
+// acknowledged.
+bool NeedsLook(const Completion& completion, Time now) {
+  return completion.state == State::kAwaitingTimeout ||
+         now - completion.sent_at >= CompletionQueue::kCloseDetectionTime;
 }
 
 }  // namespace
@@ -89,13 +78,16 @@
   return fresh;
 }
 
-void CompletionQueue::MarkSent(std::uint64_t task, ConnectionHandle connection, bool confirming, Time now) {
+void CompletionQueue::MarkSent(std::uint64_t task, ConnectionHandle connection, bool confirming, Time now,
+                               std::uint64_t stream_position) {
   const auto it = completions_.find(task);
   if (it == completions_.end()) return;
   Completion& completion = it.value();
   Apply(confirming ? Event::kSentConfirming : Event::kSentUnconfirming, &completion);
   completion.connection = connection;
   completion.sent_at = now;
+  completion.acknowledged_at = 0;
+  completion.stream_position = stream_position;
 }
 
 bool CompletionQueue::MarkConfirmed(std::uint64_t task, ConnectionHandle connection) {
@@ -109,36 +101,40 @@
   return true;
 }
 
-std::size_t CompletionQueue::OnConnectionLost(ConnectionHandle connection, Time now) {
+std::size_t CompletionQueue::OnConnectionLost(ConnectionHandle connection) {
   std::size_t pending_again = 0;
-  for (auto it = completions_.begin(); it != completions_.end();) {
+  for (auto it = completions_.begin(); it != completions_.end(); ++it) {
     Completion& completion = it.value();
-    if (completion.connection != connection) {
-      ++it;
-      continue;
-    }
-    Apply(AtConnectionEnd(completion, now), &completion);
-    if (completion.state == State::kRemoved) {
-      it = completions_.erase(it);
-    } else {
-      ++pending_again;
-      ++it;
-    }
+    if (completion.connection != connection) continue;
+    Apply(Event::kConnectionLost, &completion);
+    ++pending_again;
   }
   return pending_again;
 }
 
-std::size_t CompletionQueue::CheckTimeouts(Time now, const std::function<bool(ConnectionHandle)>& backed_up) {
+void CompletionQueue::CheckTimeLimit(Delivery delivery, Time now, Completion* completion) {
+  if (completion->state == State::kAwaitingConfirmation) {
+    if (delivery == Delivery::kQueued) completion->sent_at = now;
+    if (now - completion->sent_at >= kConfirmationTimeout) Apply(Event::kConfirmationTimeout, completion);
+    return;
+  }
+  if (delivery != Delivery::kAcknowledged) return;
+  if (completion->acknowledged_at == 0) completion->acknowledged_at = now;
+  if (now - completion->acknowledged_at < kCloseDetectionTime) return;
+  Apply(Event::kAssumedReceived, completion);
+  ++assumed_received_;
+}
+
+std::size_t CompletionQueue::CheckTimeouts(Time now,
+                                           const std::function<Delivery(const Completion&)>& delivery_of) {
   std::size_t pending_again = 0;
   for (auto it = completions_.begin(); it != completions_.end();) {
     Completion& completion = it.value();
     if (now - completion.added_at >= kRetention) {
       Apply(Event::kExpired, &completion);
       ++expired_;
-    } else if (completion.state != State::kPending) {
-      const bool limit_near = now - completion.sent_at >= kCloseDetectionTime;
-      if (limit_near && backed_up && backed_up(completion.connection)) completion.sent_at = now;
-      if (const std::optional<Event> event = ReachedTimeLimit(completion, now)) Apply(*event, &completion);
+    } else if (completion.state != State::kPending && NeedsLook(completion, now)) {
+      CheckTimeLimit(delivery_of ? delivery_of(completion) : Delivery::kAcknowledged, now, &completion);
       if (completion.state == State::kPending) ++pending_again;
     }
     if (completion.state == State::kRemoved) {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -116,6 +116,7 @@
 
 // A write may end anywhere, also in the middle of a piece.
 void Connection::Written(std::size_t bytes) {
+  bytes_sent_ += bytes;
   while (bytes > 0) {
     const std::size_t until = first_piece_ < pieces_.size() ? pieces_[first_piece_].at : out_.size();
     const std::size_t own = std::min(bytes, until - written_);
@@ -210,6 +211,23 @@
   Watch();
 }
 
+bool Connection::HasSent(std::uint64_t position) const {
+  int unsent = 0;
+  if (!up() || sys::Unsent(socket_, &unsent) != 0) return false;
+  return position + static_cast<std::uint64_t>(unsent) <= bytes_sent_;
+}
+
+bool Connection::HasDelivered(std::uint64_t position) const {
+  if (!up()) return false;
+  if (position <= bytes_delivered_) return true;
+  int unacknowledged = 0;
+  if (sys::Unacknowledged(socket_, &unacknowledged) != 0) return false;
+  // A close of this side that was sent counts there as one byte more.
+  const std::uint64_t open_bytes = std::min(bytes_sent_, static_cast<std::uint64_t>(unacknowledged));
+  bytes_delivered_ = std::max(bytes_delivered_, bytes_sent_ - open_bytes);
+  return position <= bytes_delivered_;
+}
+
 bool Connection::BackedUp() const {
   if (!up()) return false;
   int bytes = 0;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -64,6 +64,12 @@
   bool up() const { return open() && !dialing_ && !broken_; }
   bool flushed() const { return pending() == 0; }
   bool blocked() const { return up() && (io_.events & EV_WRITE) != 0; }  // bytes wait for room in the socket
+  // The number of the stream's bytes up to the end of what is queued now.
+  std::uint64_t queued_position() const { return bytes_sent_ + pending(); }
+  // Whether the bytes up to `position` have left this machine's socket, or (HasDelivered) have been
+  // acknowledged by the other side's kernel; nothing tells whether they were read. False once a write failed.
+  bool HasSent(std::uint64_t position) const;
+  bool HasDelivered(std::uint64_t position) const;
   bool BackedUp() const;  // the other side does not read: bytes wait here, or in the socket, for room there
   // The write queue: append to it, it leaves before the loop sleeps, in one gathered write where the socket
   // takes it. Refer puts bytes of a block there by reference, which nobody may change from then on.
@@ -123,6 +129,8 @@
   bool looks_behind_ = false;  // each read tells whether anything is left behind it
   bool left_unread_ = false;   // it did
   std::uint64_t bytes_read_ = 0;
+  std::uint64_t bytes_sent_ = 0;               // handed to the kernel
+  mutable std::uint64_t bytes_delivered_ = 0;  // seen as acknowledged
   int dial_error_ = 0;
   ev_io io_;
   std::string in_;  // the unfinished message, else empty
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -49,6 +49,7 @@
   X(completions_sent) \
   X(completions_queued) \
   X(completions_resent) \
+  X(completions_assumed_received) \
   X(completions_expired) \
   X(completions_dropped_full) \
   X(migrations_sent) \
--- a/src/net/sys.h
+++ b/src/net/sys.h
@@ -127,4 +127,10 @@
   return ::ioctl(socket, SIOCOUTQNSD, bytes);
 }
 
+// Bytes that the socket has taken and its peer has not acknowledged.
+inline int Unacknowledged(int socket, int* bytes) {
+  ++calls.ioctl;
+  return ::ioctl(socket, SIOCOUTQ, bytes);
+}
+
 }  // namespace cluster_manager::sys
--- a/tests/completion_queue_test.cpp
+++ b/tests/completion_queue_test.cpp
@@ -48,11 +48,18 @@
   completions.MarkSent(2, kConnection, false, kNow);
   completions.MarkSent(3, kOtherConnection, true, kNow);
   SUBCASE("at once") {
-    CHECK(completions.OnConnectionLost(kConnection, kNow + kMs) == 2);
+    CHECK(completions.OnConnectionLost(kConnection) == 2);
     CHECK(Pending() == std::vector<std::uint64_t>{1, 2});
   }
+  SUBCASE("between the time limit and the look at it: nothing tells that it has been read") {
+    completions.CheckTimeouts(kNow + kMs);
+    completions.CheckTimeouts(kNow + CompletionQueue::kCloseDetectionTime);
+    CHECK(completions.OnConnectionLost(kConnection) == 2);
+  }
   SUBCASE("later only where the way confirms: the other has read it by then") {
-    CHECK(completions.OnConnectionLost(kConnection, kNow + CompletionQueue::kCloseDetectionTime) == 1);
+    completions.CheckTimeouts(kNow);
+    completions.CheckTimeouts(kNow + CompletionQueue::kCloseDetectionTime);
+    CHECK(completions.OnConnectionLost(kConnection) == 1);
     CHECK(Pending() == std::vector<std::uint64_t>{1});
     CHECK(completions.size() == 2);
   }
@@ -76,6 +83,7 @@
                   "a way that never confirms is believed once a crossing close would have shown") {
   Add(1);
   completions.MarkSent(1, kConnection, false, kNow);
+  completions.CheckTimeouts(kNow);
   completions.CheckTimeouts(kNow + CompletionQueue::kCloseDetectionTime - 1);
   CHECK(completions.size() == 1);
   completions.CheckTimeouts(kNow + CompletionQueue::kCloseDetectionTime);
@@ -107,17 +115,16 @@
   Add(2, kNow + 1);
   completions.MarkSent(1, kConnection, false, kNow);
   completions.MarkSent(2, kConnection, true, kNow);
-  const auto backed_up = [](CompletionQueue::ConnectionHandle connection) {
-    return connection == kConnection;
-  };
+  const auto queued = [](const CompletionQueue::Completion&) { return CompletionQueue::Delivery::kQueued; };
   Time now = kNow;
-  for (int i = 0; i < 20; ++i) CHECK(completions.CheckTimeouts(now += 250 * kMs, backed_up) == 0);
+  for (int i = 0; i < 20; ++i) CHECK(completions.CheckTimeouts(now += 250 * kMs, queued) == 0);
   CHECK(completions.size() == 2);
   SUBCASE("its way ends unread: both wait again") {
-    CHECK(completions.OnConnectionLost(kConnection, now + kMs) == 2);
+    CHECK(completions.OnConnectionLost(kConnection) == 2);
     CHECK(Pending() == std::vector<std::uint64_t>{1, 2});
   }
   SUBCASE("it leaves: the time limits begin") {
+    CHECK(completions.CheckTimeouts(now) == 0);
     CHECK(completions.CheckTimeouts(now + CompletionQueue::kCloseDetectionTime - 1) == 0);
     CHECK(completions.size() == 2);
     completions.CheckTimeouts(now + CompletionQueue::kCloseDetectionTime);
@@ -126,13 +133,40 @@
   }
 }
 
+TEST_CASE_FIXTURE(QueueFixture,
+                  "no time that passes makes an end received that its peer did not acknowledge") {
+  using Delivery = CompletionQueue::Delivery;
+  for (const Delivery delivery : {Delivery::kQueued, Delivery::kInFlight}) {
+    for (Time between_looks : {kMs, 250 * kMs, 900 * kMs, 20'000 * kMs}) {
+      CAPTURE(between_looks);
+      Add(1);
+      completions.MarkSent(1, kConnection, false, kNow);
+      for (Time at = kNow; at < kNow + CompletionQueue::kRetention; at += between_looks)
+        completions.CheckTimeouts(at, [&](const auto&) { return delivery; });
+      CHECK(completions.OnConnectionLost(kConnection) == 1);
+      CHECK(Pending() == std::vector<std::uint64_t>{1});
+    }
+  }
+}
+
+TEST_CASE_FIXTURE(QueueFixture,
+                  "an end acknowledged between two looks that are far apart has its time from then") {
+  Add(1);
+  completions.MarkSent(1, kConnection, false, kNow);
+  const Time late = kNow + 10'000 * kMs;  // the process stood still
+  completions.CheckTimeouts(late);
+  completions.CheckTimeouts(late + CompletionQueue::kCloseDetectionTime - 1);
+  CHECK(completions.size() == 1);
+  completions.CheckTimeouts(late + CompletionQueue::kCloseDetectionTime);
+  CHECK(completions.size() == 0);
+}
+
 TEST_CASE_FIXTURE(QueueFixture, "hundreds of owners reset at once: every end waits again, oldest first") {
   for (std::uint64_t task = 1; task <= 600; ++task) {
     Add(task, kNow - static_cast<Time>(task));
     completions.MarkSent(task, 100 + task, true, kNow);
   }
-  for (std::uint64_t task = 1; task <= 600; ++task)
-    CHECK(completions.OnConnectionLost(100 + task, kNow) == 1);
+  for (std::uint64_t task = 1; task <= 600; ++task) CHECK(completions.OnConnectionLost(100 + task) == 1);
   const std::vector<std::uint64_t> pending = Pending();
   CHECK(pending.size() == 600);
   CHECK(pending.front() == 600);
@@ -186,7 +220,7 @@
         confirmed += completions.MarkConfirmed(task, 1 + below(20));
         break;
       case 3:
-        completions.OnConnectionLost(1 + below(20), now);
+        completions.OnConnectionLost(1 + below(20));
         break;
       default:
         completions.CheckTimeouts(now);
--- a/tests/crossing_completion_test.cpp
+++ b/tests/crossing_completion_test.cpp
@@ -1,5 +1,12 @@
 // What happened: a client was sent the end of its task, did not read it, and its connection was reset. The
 // end was told to nobody: the task stayed in the client's books for good.
+//
+// Why: an end on a connection that confirms none counted as received 0.5 s after it was sent. Whether it had
+// left the process was asked each 0.25 s only, so a reset between the 0.5 s and the next look found an end of
+// which nothing was known, and took it for received.
+//
+// What showed it: after the reset `counter completions_resent 0` and `size owed_ends 0`. The one look before
+// it had found 834,655 bytes in the socket that had not left; no look found it empty.
 #include "crossing_site.h"
 
 namespace cluster_manager::story {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -62,6 +62,27 @@
   return text;
 }
 
+TEST_CASE("what the other side has no room for has not left, and what it has not read is not delivered") {
+  Pair pair;
+  const std::uint64_t before = pair.connection->queued_position();
+  *pair.connection->out() += "first";
+  const std::uint64_t first = pair.connection->queued_position();
+  CHECK(first == before + 5);
+  CHECK_FALSE(pair.connection->HasSent(first));  // it is queued in this process
+  pair.connection->Flush();
+  CHECK(pair.ReadSome(5) == "first");
+  CHECK(pair.connection->HasDelivered(first));
+  *pair.connection->out() += std::string(64 * 1024, 'x');
+  pair.connection->Flush();
+  const std::uint64_t all = pair.connection->queued_position();
+  CHECK(all == first + 64 * 1024);
+  CHECK(pair.connection->HasDelivered(first));  // whatever is queued behind it
+  CHECK_FALSE(pair.connection->HasDelivered(all));
+  CHECK_FALSE(pair.connection->HasDelivered(first + 1));
+  pair.connection->Close();
+  CHECK_FALSE(pair.connection->HasDelivered(first));  // nothing is known of a connection that has ended
+}
+
 TEST_CASE("a gathered write that breaks off anywhere goes on where it broke off") {
   std::mt19937 random(21);
   Pair pair;
