Let nodes without room refuse in the tests of few descriptors

Callers saw nothing: the test 'a connection with a set-up open on it is not the one that makes room' waited 30 s in vain, in 4 of 48 plays beside load.

Cause: the scheduler takes the list to be late by a learned lag. Where that moment lies between an own placement and its end, the end's cores count as free beside what the list says; the set-up goes there and the node, which has no room, refuses. The test's nodes without room kept silent instead. Evidence: the debug log of the four plays, each with an attempt at the node whose task had ended three list events before, 129 ms after its placement; and a new test of the scheduler that forces both sides of the moment.

Change: in the fixture a node that gets the set-up and has no room refuses it for want of cores, and the request must still be served by the node that has. No check is taken away.

--- a/tests/crossing_descriptors_test.cpp
+++ b/tests/crossing_descriptors_test.cpp
@@ -55,13 +55,35 @@
     feed->Raw("id: " + std::to_string(number) + "\ndata: " + Event(number, list).dump() + "\n\n");
     program->Counted("discovery_events", events);
   }
+  // Waits for the set-up at that node; another that gets it first refuses it, as a node without room does.
+  // The program may try one that it has just had a task at: it takes the list to be late, and a list of that
+  // age shows the task's start and not its end (tests/logic_placement_test.cpp,
+  // AnEndThatTheListDoesNotShowYet...).
+  Wire& AwaitSetUpAt(int i, TaskId task) {
+    NodeRecord& wanted = nodes[static_cast<std::size_t>(i)];
+    const Patience patience;
+    while (wanted.SetUps(task) == 0) {
+      patience.Check();
+      for (NodeRecord& node : nodes) {
+        if (&node != &wanted) RefuseIfSetUp(&node, task);
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      wanted.Read();
+    }
+    return wanted.AwaitSetUp(task);
+  }
+  static void RefuseIfSetUp(NodeRecord* node, TaskId task) {
+    for (const auto& [line, got] : node->Unanswered()) {
+      if (got == task) RefuseForCores(line, task);
+    }
+  }
   // The request is served by that node, which alone has room, and its task comes to its end.
   void ServedBy(int i) {
     CAPTURE(i);
     const TaskId task = next_task++;
     if (!client || client->Ended()) client.emplace(program->Owner());
     Ask(&*client, task, "unsafe");
-    Wire& line = nodes[static_cast<std::size_t>(i)].AwaitSetUp(task);
+    Wire& line = AwaitSetUpAt(i, task);
     line.Answer(task, "there");
     CHECK(client->Hear(Type::kAnswer, task).description == "there");
     line.Say(Type::kRelease, task, Cause::kEnded);
--- a/tests/logic_placement_test.cpp
+++ b/tests/logic_placement_test.cpp
@@ -104,6 +104,25 @@
   EXPECT_EQ(Only<StartAttempt>(d.Arrive("last", 0, 3, 0.5, 9)).size(), 1U);
 }
 
+// The list is taken to be as old as its lag: where that moment lies between an own placement and its end, the
+// list shows the placement and not the end, and the cores that the end freed count as free beside what the
+// list says. The node may refuse, if its list was not late after all.
+TEST(View, AnEndThatTheListDoesNotShowYetFreesItsCores) {
+  constexpr Time kInitialLag = 500 * kMs, kRun = 10 * kMs;
+  for (const Time after_start : {kInitialLag + kRun / 2, kInitialLag + 2 * kRun}) {
+    Driver d(BasicSettings());
+    d.UpdateList({Entry(1, 16, 32)});
+    ASSERT_EQ(Only<StartAttempt>(d.Arrive("t")).at(0).node, 1U);
+    d.Send(TaskAccepted{Id("t"), 0, 1, kMs});
+    d.now += kRun;
+    d.End("t", 0, 1, Outcome::kOk, true);
+    d.now += after_start - kRun;
+    d.UpdateList({Entry(1, 0.1, 32)}, EndpointListUpdate::kDelta);
+    const std::size_t expected = after_start < kInitialLag + kRun ? 1 : 0;
+    EXPECT_EQ(Only<StartAttempt>(d.Arrive("next")).size(), expected);
+  }
+}
+
 // Many schedulers with one late view: each service stays on few nodes, whoever binds it, and the services
 // together spread over the nodes that the unseen binds of all would level.
 TEST(Path, ManySchedulersAgreeOnAServicesNodeAndSpreadTheServices) {
