Read what the list has said before giving it up as silent

Callers saw: after a stall of the process a good stream of the endpoint list was closed and called again; drains and starts were known later.

Cause: timers run before the kernel is asked again, and the limits on silence and on an unfinished event asked the clock alone.

Change: a limit that is reached with bytes unread waits 100 ms, once; what was unread is read in the same iteration and sets the limits anew. The log of a program under test keeps its lines apart from its statistics, which pushed them out.

Why it holds: the verdict now falls only after an iteration of the loop that has read the socket.

--- a/src/discovery/reader.cpp
+++ b/src/discovery/reader.cpp
@@ -1,5 +1,6 @@
 #include "discovery/reader.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -20,12 +21,17 @@
 // a comment or a whole event has to come. With the pause before the next call it stays under the 4 s after
 // which what a silent bulletin would have told counts as told.
 constexpr Time kMostUnfinished = 3 * kSecond;
+// Within it the loop has read what lay in the socket.
+constexpr Time kReadGrace = 100 * kMs;
 constexpr Time kUnaskedPause = 300 * kMs;
 constexpr std::size_t kMostLine = 4 * 1024 * 1024;
 // Events that cannot be used are called for again at most this often; between that they are passed over.
 constexpr Time kRetryPause = kSecond;
 constexpr Time kComplaintPause = kSecond;
 
+constexpr EndpointListWatcher::Failure kSilent{&Counters::discovery_silent, "silent"};
+constexpr EndpointListWatcher::Failure kStalled{&Counters::discovery_stalled, "no whole event"};
+
 std::optional<json> Parse(const std::string& text) {
   if (IsTooDeep(text)) return std::nullopt;
   json event = json::parse(text, nullptr, false);
@@ -142,17 +148,20 @@
 void EndpointListWatcher::AwaitMore() {
   loop_->Cancel(silence_);
   const Time silent = loop_->Now() + kSilence, stalled = alive_ + kMostUnfinished;
-  if (silent <= stalled) {
-    silence_ = loop_->At(silent, [this] {
-      ++counters.discovery_silent;
-      Break("silent");
-    });
-  } else {
-    silence_ = loop_->At(stalled, [this] {
-      ++counters.discovery_stalled;
-      Break("no whole event");
-    });
-  }
+  const Failure failure = silent <= stalled ? kSilent : kStalled;
+  silence_ = loop_->At(std::min(silent, stalled), [this, failure] { BreakUnlessUnread(failure); });
+}
+
+// After a stall of this process the time is up although the stream may have spoken: what lies in the socket
+// is read in this iteration of the loop, and then AwaitMore sets the limits anew.
+void EndpointListWatcher::BreakUnlessUnread(const Failure& failure) {
+  if (!connection_->Unread()) return BreakAs(failure);
+  silence_ = loop_->After(kReadGrace, [this, failure] { BreakAs(failure); });
+}
+
+void EndpointListWatcher::BreakAs(const Failure& failure) {
+  ++(counters.*failure.counter);
+  Break(failure.text);
 }
 
 void EndpointListWatcher::OnUp(Connection& connection) {
--- a/src/discovery/reader.h
+++ b/src/discovery/reader.h
@@ -11,11 +11,18 @@
 #include "discovery/roster.h"
 #include "dispatch/ports.h"
 #include "net/connection.h"
+#include "net/counters.h"
 
 namespace cluster_manager {
 
 class EndpointListWatcher final : public DiscoveryPort, public Connection::Handler {
  public:
+  // Why a stream is given up: what counts it, and what the log says.
+  struct Failure {
+    std::uint64_t Counters::*counter;
+    const char* text;
+  };
+
   EndpointListWatcher(EventLoop* loop, const Config& config, DiscoveryEvents* events);
 
   // Tells the engine the list of the configuration, as it was known at the start. Where changes arrive
@@ -41,6 +48,8 @@
   void Connect();
   void Reconnect();
   void AwaitMore();
+  void BreakUnlessUnread(const Failure& failure);
+  void BreakAs(const Failure& failure);
   void Break(const char* why);
   void Body(std::string_view piece);
   void LineIn(std::string_view line);
--- a/tests/crossing_discovery_test.cpp
+++ b/tests/crossing_discovery_test.cpp
@@ -30,6 +30,22 @@
   program->Counted("roster", 3, "size ");
 }
 
+// What happened: the process stood still for longer than a list may be silent. The list had spoken meanwhile;
+// its bytes lay in the socket when the process went on, and it gave the stream up as silent and called again.
+// Why: timers run before the kernel is asked again, and the limit on silence asked the clock alone. What
+// showed it: `counter discovery_silent 5` with `counter discovery_events 0`, the event written and never
+// read.
+TEST_CASE_FIXTURE(Watched, "a list that spoke while the process stood still is not given up as silent") {
+  Watch();
+  program->Pause();
+  stream->Raw(Told(Event(2, json::array({First("terminating")}))));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1700));
+  program->Resume();
+  program->Counted("discovery_events", 1);
+  CHECK(program->Statistic("discovery_silent") == "0");
+  Goes(kTask, &second);
+}
+
 TEST_CASE_FIXTURE(Watched, "a bulletin that leaves out every second number is not called again for each") {
   Watch();
   const auto all = [this](int from) {
--- a/tests/program_log.h
+++ b/tests/program_log.h
@@ -62,17 +62,11 @@
     }
     return statistics;
   }
-  // All lines but the statistics that were printed before the last ones.
+  // All lines but the statistics, then the last of these.
   void Print(std::FILE* to) const {
-    std::size_t last_statistics = 0;
-    for (std::size_t i = 0; i < kept_.size(); ++i) {
-      if (kept_[i].starts_with(kFirstStatistic)) last_statistics = i;
-    }
     std::fprintf(to, "log of the program under test:\n");
-    for (std::size_t i = 0; i < kept_.size(); ++i) {
-      if (IsStatistic(kept_[i]) && i < last_statistics) continue;
-      std::fprintf(to, "  | %s\n", kept_[i].c_str());
-    }
+    for (const std::string& line : lines_) std::fprintf(to, "  | %s\n", line.c_str());
+    for (const std::string& line : last_statistics_) std::fprintf(to, "  | %s\n", line.c_str());
     std::fflush(to);
   }
 
@@ -113,13 +107,15 @@
     }
   }
   void Keep(std::string line) {
-    kept_.push_back(std::move(line));
-    if (kept_.size() > kMaxKeptLines) kept_.pop_front();
+    if (line.starts_with(kFirstStatistic)) last_statistics_.clear();
+    std::deque<std::string>& kept = IsStatistic(line) ? last_statistics_ : lines_;
+    kept.push_back(std::move(line));
+    if (kept.size() > kMaxKeptLines) kept.pop_front();
   }
 
   int pipe_end_;
   std::string unread_;
-  std::deque<std::string> kept_;
+  std::deque<std::string> lines_, last_statistics_;
 };
 
 }  // namespace cluster_manager::story
