Let the tests' list answer calls as discovery does, at any pace of the machine

Callers saw nothing: tests failed beside load. 'cold agent: thirty processes' in 10 of 12 copies side by side, 'a second copy of a refusal' once.

Cause: the tests wrote an event once, on a stream that the program had rightly given up, and left lists silent for longer than 1.5 s and clients idle for longer than 6 s while thirty programs started. Evidence: the programs' logs; and on the old code 24 of 24 plays of the second test fail, with the counter of its entry, where the program stands still for 0.4 s as the first event is told.

Change: tests/scripted_list.h answers each call with all events after its Last-Event-ID and comments on a thread of its own; the crossing tests and those of few descriptors and cold nodes use it. No check is changed; the checks of what nodes were sent stand as they were.

--- a/tests/crossing_cold_test.cpp
+++ b/tests/crossing_cold_test.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "scripted_list.h"
 #include "story_site.h"
 
 namespace cluster_manager::story {
@@ -85,31 +86,29 @@
   Agent warm{"s-00000001"};
   std::vector<std::unique_ptr<Agent>> cold;  // one after the other
   std::vector<std::unique_ptr<Program>> programs;
-  std::vector<Wire> lists, owners;
-  int last_event = 1, asked = 0, ended = 0;  // ended: the owners were told so
+  ScriptedList list{&bulletin};
+  std::vector<Wire> owners;
+  std::chrono::steady_clock::time_point keep_again_at;
+  int asked = 0, ended = 0;  // ended: the owners were told so
   TaskId last_task = 0;
 
   Fleet(int processes, int budget) : cold_sends(budget) {
     for (int i = 0; i < processes; ++i) {
       programs.push_back(
           std::make_unique<Program>(json::array(), bulletin, FleetSettings(processes, i, cold_sends)));
-      lists.push_back(bulletin.Accept());
-      lists.back().Raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
-      owners.push_back(programs.back()->Owner());
-      owners.back().NothingElse();  // it runs, before any agent starts
-      Comment();
+      programs.back()->Owner().NothingElse();  // it runs, before any agent starts
     }
-  }
-  // The lists are not silent.
-  void Comment() {
-    for (Wire& list : lists) list.Raw(":\n\n");
+    list.Start();
+    // Only now, as a client that asks for nothing for some seconds is closed.
+    for (const auto& program : programs) owners.push_back(program->Owner());
   }
   // The whole list; back once all have taken it over.
   void Tell(const std::vector<json>& nodes) {
-    ++last_event;
-    const std::string event = Event(last_event, json(nodes), true).dump();
-    for (Wire& list : lists) list.Raw("id: " + std::to_string(last_event) + "\ndata: " + event + "\n\n");
-    for (const auto& program : programs) program->Counted("discovery_events", last_event - 1);
+    list.Tell(json(nodes), true);
+    for (const auto& program : programs) {
+      program->Counted("discovery_events", list.told());
+      KeepConnections();
+    }
   }
   // Back once all have offered or held what they were asked.
   void AskAll() {
@@ -118,22 +117,31 @@
       for (int i = 0; i < kTasks; ++i) Ask(&owner, ++last_task, "unsafe");
       const TaskId mark = 0xfeedULL << 32;
       owner.Say(Type::kTest, mark, Cause::kTestFailed);
-      while (Hear(&owner) != Type::kTestResult) {
+      while (Hear(&owner).task != mark) {
       }
     }
     asked += kTasks * static_cast<int>(owners.size());
   }
-  Type Hear(Wire* owner) {
-    const Type type = owner->Hear().type;
-    if (type == Type::kRelease) ++ended;
-    return type;
+  Heard Hear(Wire* owner) {
+    Heard heard = owner->Hear();
+    if (heard.type == Type::kRelease) ++ended;
+    return heard;
+  }
+  // A client that says nothing for some seconds is closed, and how long the test takes is the machine's
+  // affair.
+  void KeepConnections() {
+    const auto now = std::chrono::steady_clock::now();
+    if (now < keep_again_at) return;
+    keep_again_at = now + std::chrono::seconds(1);
+    constexpr TaskId kHealthCheck = 0xfeedULL << 40;
+    for (Wire& owner : owners) owner.Say(Type::kTest, kHealthCheck, Cause::kTestFailed);
   }
   template <typename Done>
   void ServeUntil(Done done) {
     const Patience patience;
     while (!done()) {
       patience.Check();
-      Comment();
+      KeepConnections();
       warm.Serve();
       for (const auto& agent : cold) agent->Serve();
       for (Wire& owner : owners) {
--- a/tests/crossing_descriptors_test.cpp
+++ b/tests/crossing_descriptors_test.cpp
@@ -15,9 +15,9 @@
   std::deque<Port> ports = std::deque<Port>(kNodes);
   std::deque<NodeRecord> nodes;
   std::optional<Program> program;
-  std::optional<Wire> feed, client;
+  ScriptedList discovery{&bulletin};
+  std::optional<Wire> client;
   std::vector<Wire> idle;
-  int events = 0;
   TaskId next_task = 1;
 
   // Only the node at `with_room` has room for anything.
@@ -40,20 +40,19 @@
     for (int i = 0; i < kIdleClients; ++i) idle.push_back(program->Owner());
     program->Owner().NothingElse();
   }
-  void Connect() {
-    feed.reset();
-    while (!feed) {
-      Wire call = bulletin.Accept();
-      if (call.Bytes().empty() || call.Ended()) continue;
-      call.Raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n");
-      feed.emplace(std::move(call));
-    }
+  void Tell(const json& nodes_listed) {
+    discovery.Tell(nodes_listed);
+    program->Counted("discovery_events", discovery.told());
+  }
+  // The list refuses connections, and has ended its stream, until ReopenDiscovery().
+  void CloseDiscovery() {
+    discovery.Stop();
+    bulletin.Close();
+    program->Logged("bulletin: closed");
   }
-  void Tell(const json& list) {
-    if (!feed || feed->Ended()) Connect();
-    const int number = ++events + 1;
-    feed->Raw("id: " + std::to_string(number) + "\ndata: " + Event(number, list).dump() + "\n\n");
-    program->Counted("discovery_events", events);
+  void ReopenDiscovery() {
+    bulletin.Open();
+    discovery.Start();
   }
   // Waits for the set-up at that node; another that gets it first refuses it, as a node without room does.
   // The program may try one that it has just had a task at: it takes the list to be late, and a list of that
@@ -140,16 +139,13 @@
   client.emplace(program->Owner());
   Ask(&*client, kTask, "unsafe");
   Wire& line = nodes[0].AwaitSetUp(kTask);
-  bulletin.Close();
-  feed->Close();
-  program->Logged("bulletin: closed");
+  CloseDiscovery();
   Crowd();
   line.Answer(kTask, "there");
   CHECK(client->Hear(Type::kAnswer, kTask).description == "there");
   ServedBy(0);
   Crowd();
-  bulletin.Open();
-  Connect();
+  ReopenDiscovery();
   for (int i = 1; i < 20; ++i) {
     OnlyRoomAt(i);
     ServedBy(i);
@@ -164,10 +160,8 @@
 TEST_CASE_FIXTURE(Crowded, "the list is down while requests go to more nodes than there are descriptors") {
   constexpr TaskId kMany = kNodes;
   Start(1);
-  Connect();
-  bulletin.Close();
-  feed->Close();
-  program->Logged("bulletin: closed");
+  Tell(json::array({NodeAt(0, 1)}));
+  CloseDiscovery();
   Crowd();
   client.emplace(program->Owner());
   for (TaskId task = 1; task <= kMany; ++task) Ask(&*client, task, "unsafe");
@@ -189,8 +183,7 @@
       CHECK(refused.insert(heard.task).second);
     }
   }
-  bulletin.Open();
-  Connect();
+  ReopenDiscovery();
   OnlyRoomAt(0);
 }
 
--- a/tests/crossing_site.h
+++ b/tests/crossing_site.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "scripted_list.h"
 #include "story_site.h"
 
 namespace cluster_manager::story {
@@ -96,8 +97,7 @@
 
 struct CrossingSite : Site {
   NodeRecord at_first{&first}, at_second{&second};
-  std::optional<Wire> feed;
-  int events = 0;
+  ScriptedList list{&bulletin};
 
   static json PatientDials() {
     json settings = Settings();
@@ -112,20 +112,10 @@
     program->Owner().NothingElse();  // it is at work: a signal before that would end it
   }
   // The list says so; the program has not necessarily read it.
-  void Tell(const json& nodes) {
-    if (feed && feed->Ended()) feed.reset();
-    while (!feed) {  // of those that it gave up meanwhile, none is its way any more
-      Wire call = bulletin.Accept();
-      if (call.Bytes().empty() || call.Ended()) continue;
-      call.Raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n");
-      feed.emplace(std::move(call));
-    }
-    const int number = ++events + 1;
-    feed->Raw("id: " + std::to_string(number) + "\ndata: " + Event(number, nodes).dump() + "\n\n");
-  }
+  void Tell(const json& nodes) { list.Tell(nodes); }
   void TellAndWait(const json& nodes) {
     Tell(nodes);
-    program->Counted("discovery_events", events);
+    program->Counted("discovery_events", list.told());
   }
   int Count(const std::string& counter) { return std::stoi(program->Statistic(counter)); }
   // The list tells of ever other room at the first node: a refusal for want of cores counts for a while.
--- /dev/null
+++ b/tests/scripted_list.h
@@ -0,0 +1,148 @@
+// Discovery as the protocol has it, for integration tests: a call is answered with every event after its
+// Last-Event-ID, and a comment follows every while. It runs on a thread of its own, so that the list is not
+// silent however slowly the test goes on, and what a closed stream lost is told on the next.
+//
+// No program is to be started while it runs, since a thread does not survive a fork: Start() comes after
+// that.
+#pragma once
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstdlib>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "story.h"
+
+namespace cluster_manager::story {
+
+class ScriptedList {
+ public:
+  // `port` must outlive the list, and is neither closed nor opened while the list runs.
+  explicit ScriptedList(Port* port) : port_(port) {}
+  ~ScriptedList() { Stop(); }
+  ScriptedList(const ScriptedList&) = delete;
+  ScriptedList& operator=(const ScriptedList&) = delete;
+
+  void Start() {
+    if (thread_.joinable()) return;
+    stopping_ = false;
+    thread_ = std::thread([this] { Run(); });
+  }
+  // Ends every stream. What has been told is told again to whoever calls after the next Start().
+  void Stop() {
+    stopping_ = true;
+    if (thread_.joinable()) thread_.join();
+    for (const Stream& stream : std::exchange(streams_, {})) ::close(stream.socket);
+  }
+  // One more event. On streams that are open it has been written when this returns, and there is one.
+  void Tell(const json& nodes, bool all = false) {
+    Start();
+    const Patience patience;
+    while (!HasOpenStream()) {
+      patience.Check();
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    const std::scoped_lock lock(mutex_);
+    events_.push_back(Event(number() + 1, nodes, all).dump());
+    for (Stream& stream : streams_) SendMissing(&stream);
+  }
+  // How many events it has told; the configuration's own event has number 1.
+  int told() const { return static_cast<int>(events_.size()); }
+
+ private:
+  struct Stream {
+    int socket;
+    std::string call;   // what has come of it, until it is whole
+    int last_sent = 0;  // the number of the last event sent; 0: the call is not whole
+  };
+  static constexpr int kPollMs = 20;
+  static constexpr std::chrono::milliseconds kCommentInterval{300};
+
+  int number() const { return told() + 1; }
+  bool HasOpenStream() {
+    const std::scoped_lock lock(mutex_);
+    for (const Stream& stream : streams_) {
+      if (stream.last_sent > 0 && !HasEnded(stream.socket)) return true;
+    }
+    return false;
+  }
+  void Run() {
+    auto comment_at = std::chrono::steady_clock::now();
+    while (!stopping_) {
+      WaitForInput();
+      const std::scoped_lock lock(mutex_);
+      AcceptCalls();
+      for (Stream& stream : streams_) ReadCall(&stream);
+      std::erase_if(streams_, [](const Stream& stream) {
+        const bool ended = HasEnded(stream.socket);
+        if (ended) ::close(stream.socket);
+        return ended;
+      });
+      if (std::chrono::steady_clock::now() < comment_at) continue;
+      comment_at = std::chrono::steady_clock::now() + kCommentInterval;
+      for (const Stream& stream : streams_) {
+        if (stream.last_sent > 0) Send(stream.socket, ":\n\n");
+      }
+    }
+  }
+  // Not for longer than until the next comment, or than Stop() is waited for.
+  void WaitForInput() const {
+    pollfd wait{port_->socket(), POLLIN, 0};
+    ::poll(&wait, 1, kPollMs);
+  }
+  void AcceptCalls() {
+    while (port_->Dialled()) {
+      const int socket = ::accept4(port_->socket(), nullptr, nullptr, SOCK_CLOEXEC);
+      if (socket >= 0) streams_.push_back({socket, "", 0});
+    }
+  }
+  void ReadCall(Stream* stream) {
+    char bytes[1024];
+    const ssize_t got = ::recv(stream->socket, bytes, sizeof bytes, MSG_DONTWAIT);
+    if (got > 0) stream->call.append(bytes, static_cast<std::size_t>(got));
+    if (stream->last_sent > 0 || stream->call.find("\r\n\r\n") == std::string::npos) return;
+    constexpr std::string_view kLast = "Last-Event-ID: ";
+    const std::size_t at = stream->call.find(kLast);
+    if (at == std::string::npos) return;
+    stream->last_sent = std::atoi(stream->call.c_str() + at + kLast.size());
+    Send(stream->socket, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n");
+    SendMissing(stream);
+  }
+  void SendMissing(Stream* stream) {
+    if (stream->last_sent == 0) return;
+    for (; stream->last_sent < number(); ++stream->last_sent) {
+      const std::string& event = events_[static_cast<std::size_t>(stream->last_sent - 1)];
+      Send(stream->socket, "id: " + std::to_string(stream->last_sent + 1) + "\ndata: " + event + "\n\n");
+    }
+  }
+  static void Send(int socket, std::string_view text) {
+    while (!text.empty()) {
+      const ssize_t sent = ::send(socket, text.data(), text.size(), MSG_NOSIGNAL);
+      if (sent <= 0) return;  // it has ended, and is called again
+      text.remove_prefix(static_cast<std::size_t>(sent));
+    }
+  }
+  static bool HasEnded(int socket) {
+    char byte = 0;
+    const ssize_t got = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
+  Port* port_;
+  std::mutex mutex_;  // of all below
+  std::vector<std::string> events_;
+  std::vector<Stream> streams_;
+  std::atomic<bool> stopping_ = false;
+  std::thread thread_;
+};
+
+}  // namespace cluster_manager::story
