End before SIGKILL comes though clients go on asking

Callers saw: requests lost at a planned restart, where clients use their open connections until the kill.

Cause: kAwaitingAnswers waited until no request was open, and each new request put that off; nothing knew when SIGKILL comes.

Change: from SIGTERM the process reckons when SIGKILL may come (the longest deadline, at most 3 s, and 0.7 s). 0.4 s before it the scheduler has answered everything and rejects what still comes; 0.3 s before it connections are closed in order.

Why it holds: the times depend on SIGTERM alone and not on what clients do.

--- a/src/request_classes/class_table.cpp
+++ b/src/request_classes/class_table.cpp
@@ -1,5 +1,6 @@
 #include "request_classes/class_table.h"
 
+#include <algorithm>
 #include <numeric>
 #include <utility>
 
@@ -23,6 +24,12 @@
   }
 }
 
+scheduling::Time ClassTable::LongestDeadline() const {
+  scheduling::Time longest = 0;
+  for (const ClassSettings& each : settings_.classes) longest = std::max(longest, each.deadline);
+  return longest;
+}
+
 int ClassTable::Position(std::string_view name) const { return Find(positions_, name); }
 
 int ClassTable::ForRunningTask(std::string_view name) const {
--- a/src/request_classes/class_table.h
+++ b/src/request_classes/class_table.h
@@ -50,6 +50,8 @@
   Change Apply(const scheduling::Settings& fresh);
 
   const scheduling::Settings& settings() const { return settings_; }  // as in the last change
+  // Of the classes of the last change, in nanoseconds; 0 where there is none.
+  scheduling::Time LongestDeadline() const;
   std::size_t size() const { return entries_.size(); }
   std::size_t in_use(int position) const;  // tasks
 
--- a/src/server/server_process_handover.cpp
+++ b/src/server/server_process_handover.cpp
@@ -26,10 +26,8 @@
 void ServerProcess::BeginHandover() {
   LogStop();
   frontend_.SetAcceptMode(ClientFrontend::AcceptMode::kHandingOver);
-  Time longest_deadline = 0;
-  for (const scheduling::ClassSettings& class_settings : dispatcher_.classes().settings().classes)
-    longest_deadline = std::max(longest_deadline, class_settings.deadline);
-  handover_by_ = loop_.Now() + std::min(longest_deadline, kMaxDeadlineWait) + kExitMargin;
+  const Time longest_deadline = std::min(dispatcher_.classes().LongestDeadline(), kMaxDeadlineWait);
+  handover_by_ = loop_.Now() + longest_deadline + kExitMargin;
   dispatcher_.ScheduleShutdown(handover_by_ - kAnswerMargin);
   CheckHandoverComplete();
 }
--- a/src/server/server_process_shutdown.cpp
+++ b/src/server/server_process_shutdown.cpp
@@ -1,5 +1,7 @@
 // Stopping a process that owns its listening socket: the last connections are accepted, open requests are
 // answered, and the connections are flushed and closed. server/lifecycle.h has the phases.
+#include <algorithm>
+
 #include "net/log.h"
 #include "server/server_process.h"
 
@@ -8,6 +10,15 @@
 
 // After SIGTERM new connections arrive for up to 0.4 s and requests for 0.2 s more; all of them are served.
 constexpr Time kFinalConnectionsPeriod = 750 * kMs;
+// SIGKILL comes no earlier than the longest deadline of a class (at most kMaxDeadlineWait) and kExitMargin
+// after SIGTERM. Clients may use their open connections until then, so that requests may never cease to come.
+constexpr Time kMaxDeadlineWait = 3 * kSecond;
+constexpr Time kExitMargin = 700 * kMs;
+// So long before SIGKILL every request is answered, and later ones are rejected at once.
+constexpr Time kAnswerMargin = 400 * kMs;
+// So long before it connections are closed, whatever still comes on them: with kFlushPeriod and some time to
+// exit before SIGKILL.
+constexpr Time kCloseMargin = 300 * kMs;
 constexpr Time kCheckInterval = 10 * kMs;
 // For peers that stop in the middle of a message, or do not read: a little more than the client frontend
 // allows for an incomplete message. Together with the other two periods it ends before SIGKILL may come,
@@ -26,6 +37,8 @@
 void ServerProcess::BeginShutdown() {
   LogStop();
   frontend_.SetAcceptMode(ClientFrontend::AcceptMode::kShuttingDown);
+  const Time longest_deadline = std::min(dispatcher_.classes().LongestDeadline(), kMaxDeadlineWait);
+  exit_by_ = loop_.Now() + longest_deadline + kExitMargin;
   const Time until = loop_.Now() + kFinalConnectionsPeriod;
   loop_.At(until, [this, until] { CloseListener(until + kPeerTimeout); });
 }
@@ -43,6 +56,7 @@
 
 void ServerProcess::BeginAwaitingAnswers() {
   peer_deadline_ = loop_.Now() + kPeerTimeout;
+  dispatcher_.ScheduleShutdown(exit_by_ - kAnswerMargin);
   CheckRequestsAnswered();
 }
 
@@ -50,7 +64,8 @@
   const Time now = loop_.Now();
   const bool unanswered = dispatcher_.unanswered_requests() > 0;
   if (unanswered) peer_deadline_ = now + kPeerTimeout;
-  if ((!unanswered && frontend_.IsQuiescent()) || now >= peer_deadline_) {
+  const bool time_is_up = now >= std::min(peer_deadline_, exit_by_ - kCloseMargin);
+  if (time_is_up || (!unanswered && frontend_.IsQuiescent())) {
     Advance(LifecycleEvent::kRequestsAnswered);
   } else {
     loop_.After(kCheckInterval, [this] { CheckRequestsAnswered(); });
