--- a/bench/faults/judge.h
+++ b/bench/faults/judge.h
@@ -3,7 +3,8 @@
 // it:
 //
 //   o1     ask (id name class m wait_ms try), served (id figure: uid), refused (id figure: stay-away in ms),
-//          failed (id), gave_up (id), broken (id), over (id figure), over_again (id), answer_again (id),
+//          failed (id), gave_up (id), broken (id), crossed (id: its
+//          connection was closed in order before an answer), over (id figure), over_again (id), answer_again (id),
 //          hand (id m uid): a client
 //   n3     boot (uid), died (uid), arrive (id uid class name), refuse (id), answer (id),
 //          end (id why: over, cut, given_up, died): a node
@@ -36,6 +37,7 @@
   std::int64_t told_within = 1'000'000'000;  // an end on a node that lives
   std::int64_t lost_within = 8'000'000'000;  // an end with its node
   std::int64_t late = 500'000'000;           // an answer after the wait that was asked for
+  std::int64_t crossing = 50'000'000;        // a set-up may cross the close of its connection
 };
 
 struct Breach {
--- a/tests/judge_test.cpp
+++ b/tests/judge_test.cpp
@@ -144,6 +144,7 @@
   SUBCASE("nothing was heard") {}
   SUBCASE("it was given up") { Owner("a1", 4400, "gave_up"); }
   SUBCASE("its connection ended") { Owner("a1", 1400, "broken"); }
+  SUBCASE("its connection was closed in order, long after it was asked") { Owner("a1", 1400, "crossed"); }
   SUBCASE("a fault elsewhere, or earlier, is no excuse") {
     Fault("m1", 900, 9000);
     Fault("o1>m0", 900, 9000);
