--- a/bench/faults/judge.h
+++ b/bench/faults/judge.h
@@ -4,8 +4,8 @@
 //
 //   o1     ask (id name class m wait_ms try), served (id figure: uid), refused (id figure: stay-away in ms),
 //          failed (id), gave_up (id), broken (id), crossed (id: its
-//          connection was closed in order before an answer), over (id figure), over_again (id), answer_again (id),
-//          hand (id m uid): a client
+//          connection was closed in order before an answer), over (id figure), over_again (id), answer_again
+//          (id), hand (id m uid): a client
 //   n3     boot (uid), died (uid), arrive (id uid class name), refuse (id), answer (id),
 //          end (id why: over, cut, given_up, died): a node
 //   m0>n3  offered (id link), released (id link), closed (link): as written by the cluster manager
--- a/bench/standin/front.cpp
+++ b/bench/standin/front.cpp
@@ -119,7 +119,8 @@
       if (asked.way == way) broken.push_back(id);
     }
     std::ranges::sort(broken);
-    // A set-up that crosses a close in order is sent again; whether it can have crossed it is the judge's to say.
+    // A set-up that crosses a close in order is sent again; whether it can have crossed it is the judge's to
+    // say.
     const char* const word = ending == Ending::kClosed ? "crossed" : "broken";
     for (const TaskId id : broken) Over(id, word, {}, true);
     loop_->After(kDialAgain + static_cast<Time>(Draw(&random_) * 100 * kMs), [this, way] { Dial(way); });
--- a/tests/crossing_upgrade_test.cpp
+++ b/tests/crossing_upgrade_test.cpp
@@ -2,7 +2,8 @@
 // its tasks in the very moment in which SIGKILL may come, 5.7 s after SIGTERM.
 // Why: it ended when no client was connected, or at that moment; a client that asks all the time stays
 // connected.
-// What showed it: the log line 'handed over: 15 tasks' 5.703 to 5.714 s after 'stopping', in six plays of six.
+// What showed it: the log line 'handed over: 15 tasks' 5.703 to 5.714 s after 'stopping', in six plays of
+// six.
 #include "busy_client.h"
 #include "story_operated.h"
 
