Hold the crossing of a close to the protocol's 50 ms on a busy machine too

Cause: added the machine's slack to the 50 ms in which a set-up may cross the close of its connection.

--- a/bench/faults/rules.cpp
+++ b/bench/faults/rules.cpp
@@ -60,8 +60,8 @@
   if (task.served) return count(&Tally::served);
   if (task.final_word == "refused") return count(&Tally::refused);
   if (task.final_word == "failed") return count(&Tally::failed);
-  // The protocol lets the client send it again.
-  const Time crossing = terms_.crossing + kSlack + terms_.slack;
+  // The protocol lets the client send it again. A busy machine makes this window no wider.
+  const Time crossing = terms_.crossing + kSlack;
   if (task.final_word == "crossed" && task.final_at - task.asked <= crossing) return count(&Tally::excused);
   const Time by = task.asked + task.wait + terms_.late + kSlack + terms_.slack;
   const Time until = std::min(by, task.final_at == kNever ? by : task.final_at);
--- a/tests/judge_test.cpp
+++ b/tests/judge_test.cpp
@@ -163,6 +163,8 @@
   Ask("a2", 1000);
   Owner("a2", 1000 + 50 + 50 + 1, "crossed");  // with the slack of two clocks
   CHECK(Rules() == Expected{"answered"});
+  terms.slack = 1000 * kMs;  // of a busy machine: the window stays
+  CHECK(Rules() == Expected{"answered"});
 }
 
 TEST_CASE_FIXTURE(Trial, "two attempts of one task out at once") {
