Tell clients of tasks that end as a planned restart closes its connections

Cause: FlushAndClose closed the connections of all clients and read those of nodes for 0.2 s more; what came found nobody and ended with the process. The node's second report reaches the next process, which was never told of the task.

Change: kFlushing closes all client connections but one; kClosingNodes closes the connections to nodes and reads each until the node has closed its side; kClosingLastClient closes the last one. Each is left once the peers have closed, at the latest when the 0.2 s of before are over. Closing connections leave the list of those that attempts, dials and limits count. What this side closes moved to connection_closing.cpp.

Why it holds: what a node writes before it knows of the close is read while a client is connected. Not done: to tell unclaimed completions to any client, since several cluster managers would tell the same one.

--- a/src/clients/client_admission.cpp
+++ b/src/clients/client_admission.cpp
@@ -77,6 +77,17 @@
   });
 }
 
+void ClientFrontend::CloseAllButOne() {
+  const ClientConnection* best = FindBestConnection(0);
+  completion_connection_ = best == nullptr ? 0 : best->transport->tag;
+  std::vector<Handle> others;
+  connections_.ForEach([&](Handle handle, const ClientConnection&) {
+    if (handle != completion_connection_) others.push_back(handle);
+  });
+  for (const Handle handle : others) CloseGracefully(handle);
+  SendPendingCompletions();
+}
+
 // Runs periodically while connections are to be closed. Keeps those with unread input, which may hold a
 // request.
 void ClientFrontend::CloseIdleConnections() {
--- a/src/clients/client_completions.cpp
+++ b/src/clients/client_completions.cpp
@@ -49,7 +49,8 @@
   // Without an alternative the unresponsive connection is used again.
   if (client == nullptr && unresponsive != 0) client = FindBestConnection(0);
   if (client == nullptr) return false;
-  const bool preferred = client->IsServed() || client == request_connection;
+  const bool is_last = client->transport->tag == completion_connection_;
+  const bool preferred = client->IsServed() || client == request_connection || is_last;
   if (!preferred && loop_->Now() - completion.added_at < kServedConnectionWait) return false;
   WriteCompletion(completion, client);
   return true;
--- a/src/clients/client_frontend.h
+++ b/src/clients/client_frontend.h
@@ -64,6 +64,9 @@
   bool IsQuiescent();
   // Closes this side of every connection once its queued bytes are written.
   void CloseAllGracefully();
+  // The same for all but one, on which completions can still be sent; new requests on it are rejected. The
+  // listener must have been closed.
+  void CloseAllButOne();
   std::size_t connection_count() const { return connections_.size(); }
   std::size_t queued_completions() const { return completions_.size(); }
   // The pending completions, oldest first; with `all` also those that were sent and not confirmed.
@@ -128,7 +131,7 @@
   bool send_scheduled_ = false;  // SendPendingCompletions is scheduled after the loss of a connection
   AcceptMode accept_mode_ = AcceptMode::kStarting;
   Handle idle_check_timer_ = 0;  // of CloseIdleConnections; 0: not set
-  // Kept open for completions while draining, without accepting new requests; 0: none.
+  // Kept open for completions while draining and at the end, without accepting new requests; 0: none.
   Handle completion_connection_ = 0;
   Listener listener_;
 };
--- /dev/null
+++ b/src/nodes/connection_closing.cpp
@@ -0,0 +1,87 @@
+// Closing connections to nodes: idle ones, those that make room for others, and all of them at the end of
+// the process.
+#include <utility>
+
+#include "net/counters.h"
+#include "nodes/node_connection_pool.h"
+
+namespace cluster_manager {
+namespace {
+
+// How long a closed connection is still read. A working node closes its side at once.
+constexpr Time kCloseTimeout = kSecond;
+
+}  // namespace
+
+bool NodeConnectionPool::IsInUse(const NodeRecord& record, const NodeConnection& node_connection) const {
+  const Handle handle = node_connection.transport->tag;
+  const bool has_health_check =
+      std::ranges::find(record.health_checks, handle, &HealthCheck::connection) != record.health_checks.end();
+  return node_connection.IsDialing() || node_connection.unanswered_attempts > 0 || has_health_check ||
+         handle == reading_connection_;
+}
+
+// Closes the unused connection that has been idle for longest. Connections to nodes with running tasks are
+// closed only where there is no other candidate; the node reports a task end that is missed by this again on
+// the next connection. False if all connections are in use.
+bool NodeConnectionPool::EvictIdleConnection() {
+  Handle victim = 0;
+  std::pair<bool, Time> victim_rank;
+  connections_.ForEach([&](Handle handle, const NodeConnection& node_connection) {
+    const NodeRecord& record = nodes_[node_connection.node];
+    if (IsInUse(record, node_connection)) return;
+    const std::pair rank(NeedsConnection(record), node_connection.transport->last_traffic);
+    if (victim != 0 && rank >= victim_rank) return;
+    victim = handle;
+    victim_rank = rank;
+  });
+  if (victim == 0) return false;
+  ++counters.node_connections_evicted;
+  const NodeId node = connections_.Get(victim)->node;
+  RemoveConnection(victim);
+  NodeRecord& record = nodes_[node];
+  if (NeedsConnection(record) && record.connections.empty()) ScheduleRedial(node, &record);
+  return true;
+}
+
+// Closes connections that must not be written to any more and have nothing pending.
+void NodeConnectionPool::CloseUnusable(NodeRecord* record) {
+  for (const Handle handle : std::vector<Handle>(record->connections)) {
+    const NodeConnection* node_connection = connections_.Get(handle);
+    if (!IsInUse(*record, *node_connection) && !IsUsable(*node_connection)) RemoveConnection(handle);
+  }
+}
+
+// Closes this side of a connection. The node may have sent messages before it learns of that, the completion
+// of a task among them, so the connection is read until the node closes its side as well.
+void NodeConnectionPool::CloseGracefully(Handle handle) {
+  NodeConnection* node_connection = connections_.Get(handle);
+  if (node_connection == nullptr || node_connection->IsClosing()) return;
+  if (node_connection->IsDialing()) {
+    RemoveConnection(handle);
+    return;
+  }
+  std::erase(nodes_[node_connection->node].connections, handle);
+  node_connection->Apply(ConnectionEvent::kClosedByThisSide);
+  loop_->Cancel(node_connection->timer);
+  node_connection->timer = loop_->After(kCloseTimeout, [this, handle] { RemoveConnection(handle); });
+  node_connection->transport->ShutdownAfterFlush(Connection::InputMode::kContinueReading);
+}
+
+void NodeConnectionPool::CloseAllGracefully() {
+  closes_all_ = true;
+  std::vector<Handle> handles;
+  connections_.ForEach([&](Handle handle, const NodeConnection&) { handles.push_back(handle); });
+  for (const Handle handle : handles) CloseGracefully(handle);
+}
+
+void NodeConnectionPool::CloseIdleConnections(NodeId node) {
+  NodeRecord& record = nodes_[node];
+  if (NeedsConnection(record) || !record.sent_attempts.empty() || !record.health_checks.empty()) return;
+  for (const Handle handle : std::vector<Handle>(record.connections)) {
+    const NodeConnection* node_connection = connections_.Get(handle);
+    if (node_connection != nullptr && node_connection->queued_attempts.empty()) RemoveConnection(handle);
+  }
+}
+
+}  // namespace cluster_manager
--- a/src/nodes/connection_lifecycle.cpp
+++ b/src/nodes/connection_lifecycle.cpp
@@ -1,5 +1,5 @@
 // Dialing connections to nodes, and the handling of everything pending on a connection when it is
-// established, fails to be established, or ends.
+// established, fails to be established, or is ended by the node.
 #include <algorithm>
 #include <utility>
 
@@ -17,10 +17,11 @@
 
 }  // namespace
 
-// Null where the address is unknown, the node was removed, or no descriptor is left.
+// Null where the address is unknown, the node was removed, no descriptor is left, or all connections are
+// being closed.
 NodeConnectionPool::NodeConnection* NodeConnectionPool::Dial(NodeId node, NodeRecord* record) {
   loop_->Cancel(std::exchange(record->redial_timer, 0));
-  if (!record->address_known || record->removed) return nullptr;
+  if (closes_all_ || !record->address_known || record->removed) return nullptr;
   if (connections_.size() >= descriptors_.MaxConnections() && !EvictIdleConnection()) {
     ++counters.node_dials_over_limit;
     return nullptr;
@@ -60,45 +61,6 @@
   if (NeedsConnection(*record) && has_none) DialOrRetry(node, record);
 }
 
-bool NodeConnectionPool::IsInUse(const NodeRecord& record, const NodeConnection& node_connection) const {
-  const Handle handle = node_connection.transport->tag;
-  const bool has_health_check =
-      std::ranges::find(record.health_checks, handle, &HealthCheck::connection) != record.health_checks.end();
-  return node_connection.IsDialing() || node_connection.unanswered_attempts > 0 || has_health_check ||
-         handle == reading_connection_;
-}
-
-// Closes the unused connection that has been idle for longest. Connections to nodes with running tasks are
-// closed only where there is no other candidate; the node reports a task end that is missed by this again on
-// the next connection. False if all connections are in use.
-bool NodeConnectionPool::EvictIdleConnection() {
-  Handle victim = 0;
-  std::pair<bool, Time> victim_rank;
-  connections_.ForEach([&](Handle handle, const NodeConnection& node_connection) {
-    const NodeRecord& record = nodes_[node_connection.node];
-    if (IsInUse(record, node_connection)) return;
-    const std::pair rank(NeedsConnection(record), node_connection.transport->last_traffic);
-    if (victim != 0 && rank >= victim_rank) return;
-    victim = handle;
-    victim_rank = rank;
-  });
-  if (victim == 0) return false;
-  ++counters.node_connections_evicted;
-  const NodeId node = connections_.Get(victim)->node;
-  RemoveConnection(victim);
-  NodeRecord& record = nodes_[node];
-  if (NeedsConnection(record) && record.connections.empty()) ScheduleRedial(node, &record);
-  return true;
-}
-
-// Closes connections that must not be written to any more and have nothing pending.
-void NodeConnectionPool::CloseUnusable(NodeRecord* record) {
-  for (const Handle handle : std::vector<Handle>(record->connections)) {
-    const NodeConnection* node_connection = connections_.Get(handle);
-    if (!IsInUse(*record, *node_connection) && !IsUsable(*node_connection)) RemoveConnection(handle);
-  }
-}
-
 void NodeConnectionPool::RemoveConnection(Handle handle) {
   NodeConnection* node_connection = connections_.Get(handle);
   if (node_connection == nullptr) return;
@@ -126,7 +88,8 @@
   }
   for (auto& [id, sent_on] : record.stop_requests) {
     const NodeConnection* previous = connections_.Get(sent_on);
-    if (previous == nullptr || previous->IsSuspect()) SendStopRequest(id, &sent_on, node_connection);
+    const bool may_be_unread = previous == nullptr || previous->IsSuspect() || previous->IsClosing();
+    if (may_be_unread) SendStopRequest(id, &sent_on, node_connection);
   }
 }
 
@@ -227,6 +190,10 @@
     DialFailed(handle, ending);
     return;
   }
+  if (node_connection->IsClosing()) {
+    RemoveConnection(handle);
+    return;
+  }
   const NodeId node = node_connection->node;
   const bool reset = ending == CloseReason::kReset;
   if (reset) ++counters.node_resets;
--- a/src/nodes/message_handling.cpp
+++ b/src/nodes/message_handling.cpp
@@ -77,7 +77,7 @@
 void NodeConnectionPool::RecordTraffic(NodeId node, NodeRecord* record, NodeConnection* node_connection) {
   node_connection->last_received_at = loop_->Now();
   record->failure_detector.RecordTraffic(node_connection->last_received_at);
-  if (record->orphaned_tasks.empty()) return;
+  if (record->orphaned_tasks.empty() || node_connection->IsClosing()) return;
   Log("node %u: data received again, stopping %zu orphaned tasks", node, record->orphaned_tasks.size());
   for (const TaskId id : std::exchange(record->orphaned_tasks, {})) SendOrphanStop(id, node_connection);
 }
--- a/src/nodes/node_connection_pool.cpp
+++ b/src/nodes/node_connection_pool.cpp
@@ -110,13 +110,4 @@
   EnsureConnection(node, &record);
 }
 
-void NodeConnectionPool::CloseIdleConnections(NodeId node) {
-  NodeRecord& record = nodes_[node];
-  if (NeedsConnection(record) || !record.sent_attempts.empty() || !record.health_checks.empty()) return;
-  for (const Handle handle : std::vector<Handle>(record.connections)) {
-    const NodeConnection* node_connection = connections_.Get(handle);
-    if (node_connection != nullptr && node_connection->queued_attempts.empty()) RemoveConnection(handle);
-  }
-}
-
 }  // namespace cluster_manager
--- a/src/nodes/node_connection_pool.h
+++ b/src/nodes/node_connection_pool.h
@@ -8,6 +8,7 @@
 //
 //   node_connection_pool.cpp   the node records, running tasks
 //   connection_lifecycle.cpp   dialing, established and ended connections
+//   connection_closing.cpp     connections that this side closes
 //   attempt_sending.cpp        choice of a connection for an attempt, sending, cancelling, stop requests
 //   message_handling.cpp       messages from nodes
 //   health_checks.cpp          health checks, suspect connections, nodes that are leaving
@@ -59,6 +60,9 @@
   std::size_t node_count() const { return nodes_.size(); }  // node records
   std::size_t connection_count() const { return connections_.size(); }
   std::size_t unanswered_attempt_count() const;  // sent and not answered, over all nodes
+  // For the end of the process: closes this side of all connections and dials no node any more. What nodes
+  // send until they have closed their side is still handled; connection_count() is 0 once all have.
+  void CloseAllGracefully();
 
   // NodePort; see there.
   void UpdateNode(const ListedNode& node) override;
@@ -111,12 +115,13 @@
     Time dialed_at = 0;
     Time last_received_at = 0;                   // 0 while dialing
     int incarnation = 0;                         // of the node's process, see NodeRecord::incarnations_ended
-    Handle timer = 0;                            // of the dial; later of an incomplete message
+    Handle timer = 0;                            // of the dial, an incomplete message, or the close
     std::size_t unanswered_attempts = 0;         // task requests sent on it and not answered
     std::vector<QueuedAttempt> queued_attempts;  // sent once it is established
 
     bool IsDialing() const { return state == ConnectionState::kDialing; }
     bool IsSuspect() const { return state == ConnectionState::kSuspect; }
+    bool IsClosing() const { return state == ConnectionState::kClosing; }
     void Apply(ConnectionEvent event) { state = NextState(state, event); }
   };
   struct NodeRecord {
@@ -128,7 +133,7 @@
     int incarnations_ended = 0;
     bool incarnation_may_have_ended = false;  // the next connection counts as one to a new process
     std::optional<NodeId> address_successor;  // the node that has the address of this removed node
-    std::vector<Handle> connections;          // established or being dialed
+    std::vector<Handle> connections;          // being dialed or established, except closing ones
     Handle redial_timer = 0;
     std::vector<QueuedAttempt> unreachable_attempts;  // to be failed in the next loop iteration
     NumberMap<TaskId, SentAttempt> sent_attempts;     // without an answer so far
@@ -161,8 +166,8 @@
   void CheckUnfinishedMessage(Handle handle);
   void RecordTraffic(NodeId node, NodeRecord* record, NodeConnection* node_connection);
 
-  // Connections. Dial returns null where the address is unknown, the node was removed, or no descriptor is
-  // left.
+  // Connections. Dial returns null where the address is unknown, the node was removed, no descriptor is left,
+  // or all connections are being closed.
   NodeConnection* Dial(NodeId node, NodeRecord* record);
   void DialOrRetry(NodeId node, NodeRecord* record);
   void ScheduleRedial(NodeId node, NodeRecord* record);
@@ -171,6 +176,7 @@
   static std::vector<std::pair<TaskId, AttemptId>> RemoveSentAttempts(NodeRecord* record, Handle handle);
   static bool MarkForResend(NodeRecord* record, Handle handle);
   void RemoveConnection(Handle handle);
+  void CloseGracefully(Handle handle);
   bool EvictIdleConnection();
   void CloseUnusable(NodeRecord* record);
   bool IsUsable(const NodeConnection& node_connection);
@@ -231,6 +237,7 @@
   std::unordered_map<std::uint64_t, NodeId> last_listed_at_;  // by AddressKey
   Handle reading_connection_ = 0;                             // whose messages are being handled; 0: none
   std::vector<DeferredAttempt> deferred_attempts_;
+  bool closes_all_ = false;            // CloseAllGracefully was called
   bool resume_scheduled_ = false;      // a call of ResumeDeferredAttempts is scheduled
   std::vector<NodeId> leaving_nodes_;  // watched by CheckLeavingNodes
 };
--- a/src/server/lifecycle.cpp
+++ b/src/server/lifecycle.cpp
@@ -11,6 +11,8 @@
     case Phase::kAcceptingFinalConnections:
     case Phase::kAwaitingAnswers:
     case Phase::kFlushing:
+    case Phase::kClosingNodes:
+    case Phase::kClosingLastClient:
     case Phase::kHandingOver:
     case Phase::kEnded:
       return true;
@@ -34,8 +36,12 @@
     case LifecycleEvent::kRequestsAnswered:
       if (phase == Phase::kAwaitingAnswers) return Phase::kFlushing;
       return phase == Phase::kHandingOver ? Phase::kEnded : phase;
-    case LifecycleEvent::kFlushTimeout:
-      return phase == Phase::kFlushing ? Phase::kEnded : phase;
+    case LifecycleEvent::kClientsFlushed:
+      return phase == Phase::kFlushing ? Phase::kClosingNodes : phase;
+    case LifecycleEvent::kNodesClosed:
+      return phase == Phase::kClosingNodes ? Phase::kClosingLastClient : phase;
+    case LifecycleEvent::kLastClientClosed:
+      return phase == Phase::kClosingLastClient ? Phase::kEnded : phase;
   }
   return phase;
 }
--- a/src/server/lifecycle.h
+++ b/src/server/lifecycle.h
@@ -19,7 +19,13 @@
 //            |    unanswered and no message is     |
 //            |    partly read, unread or unsent    |
 //            v                                     |
-//   kFlushing  write sides shut down, 0.2 s        |
+//   kFlushing  all client connections but one      |
+//            |    are closed                       |
+//            v                                     |
+//   kClosingNodes  node connections are closed and |
+//            |    read to their ends               |
+//            v                                     |
+//   kClosingLastClient  after its completions      |
 //            |                                     | no request is unanswered and no client is connected,
 //            +-------------> kEnded <--------------+ or the time is up (0.7 s after the longest deadline)
 //
@@ -28,7 +34,9 @@
 // kAcceptingFinalConnections lasts at most 2 s longer where file descriptors run out. kAwaitingAnswers lasts
 // as long as requests are unanswered, and at most 2 s more for peers that neither complete a message that
 // they began to send nor read what was sent to them; never longer than 0.3 s before SIGKILL may come,
-// whatever clients still ask (server_process_shutdown.cpp).
+// whatever clients still ask (server_process_shutdown.cpp). The three phases after it last until the peers
+// have closed their sides, and at most 0.2 s together. A client is left until the nodes have closed, since a
+// node takes a completion for sent once it has written it on an open connection.
 #pragma once
 
 namespace cluster_manager {
@@ -39,7 +47,9 @@
   kDraining,                   // an operator has taken the process out of service
   kAcceptingFinalConnections,  // stopping: still accepts connections of clients that do not know of it yet
   kAwaitingAnswers,            // stopping: the listener is closed, open requests are answered
-  kFlushing,                   // stopping: clients get time to read the last bytes
+  kFlushing,                   // stopping: all client connections but one are closed
+  kClosingNodes,               // stopping: the connections to nodes are closed
+  kClosingLastClient,          // stopping: the last client connection is closed
   kHandingOver,                // stopping: the next process accepts on the shared socket
   kEnded                       // the event loop stops
 };
@@ -51,7 +61,9 @@
   kTerminate,         // SIGTERM or SIGINT
   kListenerClosed,    // every queued connection was accepted, or the time for it is up
   kRequestsAnswered,  // no request is unanswered, or the time for it is up
-  kFlushTimeout       // the time for clients to read the last bytes is up
+  kClientsFlushed,    // all clients but one have closed their side, or the time for it is up
+  kNodesClosed,       // all nodes have closed their side, or the time for it is up
+  kLastClientClosed   // no client is connected, or the time for it is up
 };
 
 // The phase that follows `phase` on `event`; `phase` itself where the event is ignored. `inherited_socket`:
--- a/src/server/server_process.cpp
+++ b/src/server/server_process.cpp
@@ -117,7 +117,13 @@
       BeginAwaitingAnswers();
       break;
     case Phase::kFlushing:
-      FlushAndClose();
+      FlushClients();
+      break;
+    case Phase::kClosingNodes:
+      CloseNodes();
+      break;
+    case Phase::kClosingLastClient:
+      CloseLastClient();
       break;
     case Phase::kHandingOver:
       BeginHandover();
--- a/src/server/server_process.h
+++ b/src/server/server_process.h
@@ -78,7 +78,11 @@
   void CloseListener(Time give_up_at);
   void BeginAwaitingAnswers();
   void CheckRequestsAnswered();
-  void FlushAndClose();
+  void FlushClients();
+  void CloseNodes();
+  void CloseLastClient();
+  bool PeersHaveClosed() const;
+  void AdvanceOncePeersHaveClosed(LifecycleEvent event);
 
   // Handover between processes that share a socket.
   void BeginHandover();
@@ -108,6 +112,8 @@
   Handle readiness_timer_ = 0;
   Time peer_deadline_ = 0;  // kAwaitingAnswers: peers are waited for until then
   Time exit_by_ = 0;        // with an own socket: SIGKILL may come from then on
+  Time flushed_by_ = 0;     // kFlushing and later: clients have time to read the last bytes until then
+  Time closed_by_ = 0;      // kFlushing and later: the peers of the phase are waited for until then
   Time handover_by_ = 0;    // kHandingOver: SIGKILL may come from then on
   zone_failover::Deployment deployment_;
   std::optional<zone_failover::ZoneFailover> zone_failover_;  // present where a plan is given
--- a/src/server/server_process_shutdown.cpp
+++ b/src/server/server_process_shutdown.cpp
@@ -1,5 +1,6 @@
 // Graceful shutdown of a process that owns its listening socket: accepts the last connections, answers open
-// requests, then flushes and closes the connections. server/lifecycle.h describes the phases.
+// requests, then closes the connections, the last one to a client after those to nodes. server/lifecycle.h
+// describes the phases.
 #include <algorithm>
 
 #include "net/log.h"
@@ -24,8 +25,14 @@
 // time-out for an incomplete message. Together with the other two periods it ends before SIGKILL may come,
 // 3.7 s after SIGTERM where deadlines are long.
 constexpr Time kPeerTimeout = 2 * kSecond;
-// For clients to read the last bytes before the sockets are closed.
+// For clients to read the last bytes before the sockets are closed, unless they close their side earlier. It
+// includes the next two periods.
 constexpr Time kFlushPeriod = 200 * kMs;
+// For nodes to close their side. Their completions are told to the last client meanwhile.
+constexpr Time kNodeClosePeriod = 50 * kMs;
+// For the last client to read its last bytes.
+constexpr Time kLastClientPeriod = 50 * kMs;
+constexpr Time kCloseCheckInterval = 2 * kMs;
 
 }  // namespace
 
@@ -72,9 +79,44 @@
   }
 }
 
-void ServerProcess::FlushAndClose() {
+void ServerProcess::FlushClients() {
+  flushed_by_ = loop_.Now() + kFlushPeriod;
+  closed_by_ = flushed_by_ - kNodeClosePeriod - kLastClientPeriod;
+  frontend_.CloseAllButOne();
+  AdvanceOncePeersHaveClosed(LifecycleEvent::kClientsFlushed);
+}
+
+void ServerProcess::CloseNodes() {
+  closed_by_ = loop_.Now() + kNodeClosePeriod;
+  node_pool_.CloseAllGracefully();
+  AdvanceOncePeersHaveClosed(LifecycleEvent::kNodesClosed);
+}
+
+void ServerProcess::CloseLastClient() {
+  closed_by_ = std::max(flushed_by_, loop_.Now() + kLastClientPeriod);
   frontend_.CloseAllGracefully();
-  loop_.After(kFlushPeriod, [this] { Advance(LifecycleEvent::kFlushTimeout); });
+  AdvanceOncePeersHaveClosed(LifecycleEvent::kLastClientClosed);
+}
+
+bool ServerProcess::PeersHaveClosed() const {
+  switch (phase_) {
+    case Phase::kFlushing:
+      return frontend_.connection_count() <= 1;
+    case Phase::kClosingNodes:
+      return node_pool_.connection_count() == 0;
+    default:
+      return frontend_.connection_count() == 0;
+  }
+}
+
+// What had arrived when the time was up is handled first: the time of the last poll counts, not that of this
+// call, which a process that stood still makes before it handles what has arrived meanwhile.
+void ServerProcess::AdvanceOncePeersHaveClosed(LifecycleEvent event) {
+  if (PeersHaveClosed() || loop_.polled_at() >= closed_by_) {
+    Advance(event);
+  } else {
+    loop_.After(kCloseCheckInterval, [this, event] { AdvanceOncePeersHaveClosed(event); });
+  }
 }
 
 }  // namespace cluster_manager
--- a/tests/lifecycle_test.cpp
+++ b/tests/lifecycle_test.cpp
@@ -12,11 +12,12 @@
 using enum Phase;
 using Event = LifecycleEvent;
 
-constexpr Phase kPhases[] = {kStarting,        kServing,  kDraining,    kAcceptingFinalConnections,
-                             kAwaitingAnswers, kFlushing, kHandingOver, kEnded};
-constexpr Event kEvents[] = {Event::kCanServe,    Event::kDrain,          Event::kActivate,
-                             Event::kTerminate,   Event::kListenerClosed, Event::kRequestsAnswered,
-                             Event::kFlushTimeout};
+constexpr Phase kPhases[] = {kStarting,        kServing,  kDraining,     kAcceptingFinalConnections,
+                             kAwaitingAnswers, kFlushing, kClosingNodes, kClosingLastClient,
+                             kHandingOver,     kEnded};
+constexpr Event kEvents[] = {Event::kCanServe,       Event::kDrain,          Event::kActivate,
+                             Event::kTerminate,      Event::kListenerClosed, Event::kRequestsAnswered,
+                             Event::kClientsFlushed, Event::kNodesClosed,    Event::kLastClientClosed};
 
 TEST_CASE("each phase is left by the events of its transitions and by no other") {
   for (const bool inherited : {false, true}) {
@@ -31,7 +32,9 @@
         {{kDraining, Event::kTerminate}, stopping},
         {{kAcceptingFinalConnections, Event::kListenerClosed}, kAwaitingAnswers},
         {{kAwaitingAnswers, Event::kRequestsAnswered}, kFlushing},
-        {{kFlushing, Event::kFlushTimeout}, kEnded},
+        {{kFlushing, Event::kClientsFlushed}, kClosingNodes},
+        {{kClosingNodes, Event::kNodesClosed}, kClosingLastClient},
+        {{kClosingLastClient, Event::kLastClientClosed}, kEnded},
         {{kHandingOver, Event::kRequestsAnswered}, kEnded}};
     for (const Phase phase : kPhases) {
       for (const Event event : kEvents) {
