Dial nodes again that have forgotten their idle connections while tasks run there

Cause: IsUsable stops trusting a connection a second before the keepalive time, while EnsureConnection and OnClosed counted every connection that had not ended as one on which a completion arrives. Nothing was written on it and nothing replaced it.

Change: CloseExpiredConnections, every 0.5 s, closes connections without traffic for the keepalive time and 0.5 s and dials another where tasks run. One with unread input, an unanswered request or a health check is left alone. Counter node_connections_expired.

Why it holds: by the protocol a node closes an idle connection after the keepalive time, so one whose close did not arrive is forgotten; the node repeats its completions on the next connection, within about 1 s.

--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -25,6 +25,7 @@
   X(node_dials_failed) \
   X(node_dials_over_limit) \
   X(node_connections_evicted) \
+  X(node_connections_expired) \
   X(node_resets) \
   X(accept_failed) \
   X(discovery_connects) \
--- a/src/nodes/connection_closing.cpp
+++ b/src/nodes/connection_closing.cpp
@@ -1,4 +1,4 @@
-// Closing connections to nodes: idle ones, those that make room for others, and all of them at the end of
+// Closing connections to nodes: idle ones, those whose descriptor is needed, and all of them at the end of
 // the process.
 #include <utility>
 
@@ -10,6 +10,10 @@
 
 // How long a closed connection is still read. A working node closes its side at once.
 constexpr Time kCloseTimeout = kSecond;
+// For the close of a connection that has been idle for the keepalive time to arrive. Where none does, the
+// node has forgotten the connection.
+constexpr Time kIdleCloseGrace = 500 * kMs;
+constexpr Time kExpiryCheckInterval = 500 * kMs;
 
 }  // namespace
 
@@ -68,6 +72,33 @@
   node_connection->transport->ShutdownAfterFlush(Connection::InputMode::kContinueReading);
 }
 
+// Whether the node would have closed the connection by now because it is idle. Bytes or an end that have
+// arrived and were not read yet are handled first.
+bool NodeConnectionPool::IsExpired(const NodeConnection& node_connection, Time now) {
+  const Connection& connection = *node_connection.transport;
+  if (now - connection.last_traffic < timeouts_.keepalive + kIdleCloseGrace) return false;
+  if (node_connection.IsClosing() || IsInUse(nodes_[node_connection.node], node_connection)) return false;
+  return connection.PeekInput() == InputState::kNone;
+}
+
+// Runs periodically. A node may forget an idle connection without closing it: no completion arrives on it any
+// more, and what is written on it is answered by a reset. Where tasks run, another connection is dialed, on
+// which the node repeats the completions that it could not deliver.
+void NodeConnectionPool::CloseExpiredConnections() {
+  const Time now = loop_->Now();
+  std::vector<Handle> expired;
+  connections_.ForEach([&](Handle handle, const NodeConnection& node_connection) {
+    if (IsExpired(node_connection, now)) expired.push_back(handle);
+  });
+  for (const Handle handle : expired) {
+    ++counters.node_connections_expired;
+    const NodeId node = connections_.Get(handle)->node;
+    CloseGracefully(handle);
+    EnsureConnection(node, &nodes_[node]);
+  }
+  loop_->After(kExpiryCheckInterval, [this] { CloseExpiredConnections(); });
+}
+
 void NodeConnectionPool::CloseAllGracefully() {
   closes_all_ = true;
   std::vector<Handle> handles;
--- a/src/nodes/node_connection_pool.cpp
+++ b/src/nodes/node_connection_pool.cpp
@@ -34,6 +34,7 @@
       next_health_check_id_(seed | 1) {
   ForgetRemovedNodes();
   CheckLeavingNodes();
+  CloseExpiredConnections();
 }
 
 std::size_t NodeConnectionPool::unanswered_attempt_count() const {
--- a/src/nodes/node_connection_pool.h
+++ b/src/nodes/node_connection_pool.h
@@ -178,6 +178,8 @@
   void RemoveConnection(Handle handle);
   void CloseGracefully(Handle handle);
   bool EvictIdleConnection();
+  bool IsExpired(const NodeConnection& node_connection, Time now);
+  void CloseExpiredConnections();
   void CloseUnusable(NodeRecord* record);
   bool IsUsable(const NodeConnection& node_connection);
   bool IsInUse(const NodeRecord& record, const NodeConnection& node_connection) const;
