Hand over tasks after the connections to nodes are closed, and dial their nodes anew

Cause, in two halves. The old process listed its running tasks while its connections to nodes were open, and read nothing on them until its exit. The new process dials only nodes to which it has no connection, so a node that repeats a completion on its next connection had none. The records show the release on the open connection between `handed over` and the exit, and no new connection until the next upgrade.

Change: kHandingOver is followed by kClosingNodes, which a planned restart has already; the tasks are listed as it ends. DialForRepeatedCompletions opens one connection to each node of the tasks taken over, unless one is being dialed, and again until one is up.

Why it holds: a node that has seen the close reports to the new process, and repeats there what crossed the close.

--- a/src/nodes/connection_lifecycle.cpp
+++ b/src/nodes/connection_lifecycle.cpp
@@ -61,6 +61,15 @@
   if (NeedsConnection(*record) && has_none) DialOrRetry(node, record);
 }
 
+void NodeConnectionPool::DialForRepeatedCompletions(NodeId node, Time since) {
+  NodeRecord& record = nodes_[node];
+  const bool is_dialed = std::ranges::any_of(
+      record.connections, [&](Handle handle) { return connections_.Get(handle)->dialed_at >= since; });
+  if (is_dialed || !NeedsConnection(record)) return;
+  record.connection_wanted_since = since;
+  DialOrRetry(node, &record);
+}
+
 void NodeConnectionPool::RemoveConnection(Handle handle) {
   NodeConnection* node_connection = connections_.Get(handle);
   if (node_connection == nullptr) return;
@@ -77,6 +86,7 @@
   NodeRecord& record = nodes_[node_connection->node];
   if (std::exchange(record.incarnation_may_have_ended, false)) ++record.incarnations_ended;
   node_connection->incarnation = record.incarnations_ended;
+  if (node_connection->dialed_at >= record.connection_wanted_since) record.connection_wanted_since = 0;
   node_connection->Apply(ConnectionEvent::kEstablished);
   RecordTraffic(node_connection->node, &record, node_connection);
   for (const QueuedAttempt& queued : std::exchange(node_connection->queued_attempts, {})) {
@@ -117,7 +127,7 @@
   if (dead) events_->OnNodeProcessDied(node);
   record = &nodes_[node];
   if (dead) record->stop_requests.clear();
-  const bool must_redial = record->connections.empty() || refused;
+  const bool must_redial = record->connections.empty() || refused || record->connection_wanted_since > 0;
   if (NeedsConnection(*record) && !record->removed && must_redial) ScheduleRedial(node, record);
 }
 
--- a/src/nodes/node_connection_pool.h
+++ b/src/nodes/node_connection_pool.h
@@ -60,6 +60,10 @@
   std::size_t node_count() const { return nodes_.size(); }  // node records
   std::size_t connection_count() const { return connections_.size(); }
   std::size_t unanswered_attempt_count() const;  // sent and not answered, over all nodes
+  // Dials the node if a task runs there and no connection to it was dialed at or after `since`, and again
+  // until one is established. A node reports a completion on a connection that it has, and repeats it on the
+  // next one that is opened: this process hears of those that were lost with connections of another process.
+  void DialForRepeatedCompletions(NodeId node, Time since);
   // For the end of the process: closes this side of all connections and dials no node any more. What nodes
   // send until they have closed their side is still handled; connection_count() is 0 once all have.
   void CloseAllGracefully();
@@ -135,6 +139,8 @@
     std::optional<NodeId> address_successor;  // the node that has the address of this removed node
     std::vector<Handle> connections;          // being dialed or established, except closing ones
     Handle redial_timer = 0;
+    // Until one that was dialed then or later is established; 0: not wanted.
+    Time connection_wanted_since = 0;
     std::vector<QueuedAttempt> unreachable_attempts;  // to be failed in the next loop iteration
     NumberMap<TaskId, SentAttempt> sent_attempts;     // without an answer so far
     NumberMap<TaskId, Placement> running_tasks;
--- a/src/server/lifecycle.cpp
+++ b/src/server/lifecycle.cpp
@@ -35,11 +35,12 @@
       return phase == Phase::kAcceptingFinalConnections ? Phase::kAwaitingAnswers : phase;
     case LifecycleEvent::kRequestsAnswered:
       if (phase == Phase::kAwaitingAnswers) return Phase::kFlushing;
-      return phase == Phase::kHandingOver ? Phase::kEnded : phase;
+      return phase == Phase::kHandingOver ? Phase::kClosingNodes : phase;
     case LifecycleEvent::kClientsFlushed:
       return phase == Phase::kFlushing ? Phase::kClosingNodes : phase;
     case LifecycleEvent::kNodesClosed:
-      return phase == Phase::kClosingNodes ? Phase::kClosingLastClient : phase;
+      if (phase != Phase::kClosingNodes) return phase;
+      return inherited_socket ? Phase::kEnded : Phase::kClosingLastClient;
     case LifecycleEvent::kLastClientClosed:
       return phase == Phase::kClosingLastClient ? Phase::kEnded : phase;
   }
--- a/src/server/lifecycle.h
+++ b/src/server/lifecycle.h
@@ -11,23 +11,26 @@
 //            +------------------+------------------+
 //            v                                     v
 //   kAcceptingFinalConnections  still      kHandingOver  another process accepts: serves the open
-//            |    accepts and serves, 0.75 s       |      connections, closes idle ones, hands over the
-//            |                                     |      running tasks
+//            |    accepts and serves, 0.75 s       |      connections, closes idle ones
+//            |                                     |
 //            | the accept queue is empty:          |
 //            v the listener is closed              |
 //   kAwaitingAnswers  until no request is          |
 //            |    unanswered and no message is     |
 //            |    partly read, unread or unsent    |
 //            v                                     |
-//   kFlushing  all client connections but one      |
-//            |    are closed                       |
+//   kFlushing  all client connections but one      | no request is unanswered and no client is connected,
+//            |    are closed                       | or the time is up (0.25 s before SIGKILL may come)
+//            |                                     |
+//            +-----------------+-------------------+
+//                              v
+//                        kClosingNodes  node connections are closed and read to their ends
+//            own socket        |          inherited socket
+//            +-----------------+-------------------+
 //            v                                     |
-//   kClosingNodes  node connections are closed and |
-//            |    read to their ends               |
-//            v                                     |
-//   kClosingLastClient  after its completions      |
-//            |                                     | no request is unanswered and no client is connected,
-//            +-------------> kEnded <--------------+ or the time is up (0.7 s after the longest deadline)
+//   kClosingLastClient  after its completions      | the tasks are handed over
+//            |                                     |
+//            +-------------> kEnded <--------------+
 //
 // An event without an arrow in a phase is ignored there: a second SIGTERM, a drain or activate after the
 // first, or a timer that fires late. SIGHUP is no lifecycle event: new settings apply in every phase.
--- a/src/server/server_process.cpp
+++ b/src/server/server_process.cpp
@@ -129,6 +129,7 @@
       BeginHandover();
       break;
     case Phase::kEnded:
+      if (HasInheritedSocket()) HandOver();
       loop_.Stop();
       break;
   }
--- a/src/server/server_process.h
+++ b/src/server/server_process.h
@@ -87,6 +87,8 @@
   // Handover between processes that share a socket.
   void BeginHandover();
   void CheckHandoverComplete();
+  Time NodesClosedByAtHandover();
+  void HandOver();
   Handover CollectHandover(bool with_tasks);
   void PublishHandover(bool with_tasks);
   TaskRequest ToTaskRequest(const HandedOverTask& task) const;
--- a/src/server/server_process_handover.cpp
+++ b/src/server/server_process_handover.cpp
@@ -21,9 +21,12 @@
 constexpr Time kAnswerMargin = 400 * kMs;
 // Connections are closed this long before the kill, whatever clients still request on them.
 constexpr Time kCloseMargin = 350 * kMs;
-// The tasks are handed over this long before the kill: clients have read their last answers by then, and the
-// file can still be written.
-constexpr Time kHandoverMargin = 200 * kMs;
+// The connections to nodes are closed this long before the kill: clients have read their last answers.
+constexpr Time kNodeCloseMargin = 250 * kMs;
+// For nodes to close their side.
+constexpr Time kNodeClosePeriod = 150 * kMs;
+// The tasks are handed over this long before the kill, so that the file can still be written.
+constexpr Time kHandoverMargin = 150 * kMs;
 
 }  // namespace
 
@@ -38,23 +41,32 @@
   CheckHandoverComplete();
 }
 
-// The old process ends as soon as it has answered every request and no client is connected: only then do
-// clients claim its tasks at the new process. Completions that no client could be notified of are handed
-// over. Clients that keep sending requests do not delay this: the time of SIGKILL does not depend on them.
+// The old process closes its connections to nodes as soon as it has answered every request and no client is
+// connected: only then do clients claim its tasks at the new process. Completions that no client could be
+// notified of are handed over. Clients that keep sending requests do not delay this: the time of SIGKILL does
+// not depend on them.
 void ServerProcess::CheckHandoverComplete() {
   PublishHandover(false);
   const Time now = loop_.Now();
   if (now >= handover_by_ - kCloseMargin) frontend_.CloseAllGracefully();
   const bool complete = dispatcher_.unanswered_request_count() == 0 && frontend_.connection_count() == 0;
-  if (complete || now >= handover_by_ - kHandoverMargin) {
-    PublishHandover(true);
-    Log("handed over: %zu tasks", dispatcher_.RunningTaskCount());
+  if (complete || now >= handover_by_ - kNodeCloseMargin) {
     Advance(LifecycleEvent::kRequestsAnswered);
   } else {
     loop_.After(kCheckInterval, [this] { CheckHandoverComplete(); });
   }
 }
 
+Time ServerProcess::NodesClosedByAtHandover() {
+  return std::min(loop_.Now() + kNodeClosePeriod, handover_by_ - kHandoverMargin);
+}
+
+// To be called once nodes report to the next process: what this one has read by then is in the handover.
+void ServerProcess::HandOver() {
+  PublishHandover(true);
+  Log("handed over: %zu tasks", dispatcher_.RunningTaskCount());
+}
+
 Handover ServerProcess::CollectHandover(bool with_tasks) {
   Handover handover;
   const scheduling::Settings& settings = dispatcher_.classes().settings();
@@ -100,10 +112,15 @@
   return request;
 }
 
+// The old process has closed its connections to nodes by now. Completions that crossed that close are repeated
+// by their nodes on the next connection.
 void ServerProcess::ApplyHandover(const Handover& handover) {
+  const Time received_at = loop_.Now();
   std::size_t taken_tasks = 0;
   for (const HandedOverTask& task : handover.tasks)
     taken_tasks += dispatcher_.OnTaskRequest(ToTaskRequest(task));
+  for (const HandedOverTask& task : handover.tasks)
+    node_pool_.DialForRepeatedCompletions(task.node, received_at);
   std::size_t new_completions = 0;
   for (const HandedOverCompletion& completion : handover.completions) {
     if (!applied_completions_.insert(completion.id).second) continue;
--- a/src/server/server_process_shutdown.cpp
+++ b/src/server/server_process_shutdown.cpp
@@ -87,7 +87,7 @@
 }
 
 void ServerProcess::CloseNodes() {
-  closed_by_ = loop_.Now() + kNodeClosePeriod;
+  closed_by_ = HasInheritedSocket() ? NodesClosedByAtHandover() : loop_.Now() + kNodeClosePeriod;
   node_pool_.CloseAllGracefully();
   AdvanceOncePeersHaveClosed(LifecycleEvent::kNodesClosed);
 }
--- a/tests/completion_at_shutdown_test.cpp
+++ b/tests/completion_at_shutdown_test.cpp
@@ -1,10 +1,13 @@
 // Completions that nodes report while a process of a cluster manager ends: each is told to a client by that
 // process, or reported by its node to the next one.
+#include <fcntl.h>
+#include <sys/file.h>
+
 #include <chrono>
 #include <optional>
 #include <thread>
 
-#include "story_site.h"
+#include "story_operated.h"
 
 namespace cluster_manager::story {
 namespace {
@@ -69,5 +72,89 @@
   CHECK(program->ExitStatus() == 0);
 }
 
+// Delays what processes write to the file through which they hand over.
+class HandoverFileLock {
+ public:
+  explicit HandoverFileLock(const std::filesystem::path& folder)
+      : file_(::open((folder / "willowrail.n0.handover").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600)) {
+    REQUIRE(file_ >= 0);
+    REQUIRE(::flock(file_, LOCK_EX) == 0);
+  }
+  ~HandoverFileLock() { ::close(file_); }
+  HandoverFileLock(const HandoverFileLock&) = delete;
+  HandoverFileLock& operator=(const HandoverFileLock&) = delete;
+
+ private:
+  const int file_;
+};
+
+// A client runs a task in the old process of an upgrade. The new process has a connection to its node
+// already.
+struct Upgrade : Operated {
+  Program *old_process = nullptr, *new_process = nullptr;
+  std::optional<Wire> client, node, next_client, next_node;
+
+  void RunTask(Wire* from, TaskId task, std::optional<Wire>* at) {
+    Ask(from, task, "unsafe");
+    at->emplace(first.Accept());
+    (*at)->Hear(Type::kTaskRequest, task);
+    (*at)->Answer(task, "there");
+    from->Hear(Type::kTaskAccepted, task);
+  }
+  void Begin() {
+    old_process = &Start();
+    client.emplace(Owner());
+    RunTask(&*client, kTask, &node);
+    new_process = &Start();
+    old_process->Signal(SIGTERM);
+    old_process->Logged("stopping");
+    next_client.emplace(Owner());
+    RunTask(&*next_client, kOther, &next_node);
+  }
+  void AwaitHandover() {
+    CHECK(client->Closed());
+    client->Close();
+    old_process->Logged("handed over: 1 tasks");
+  }
+  void End() {
+    CHECK(old_process->ExitStatus() == 0);
+    new_process->Logged("taken over: 1 of 1 tasks");
+  }
+};
+
+// Guards against completions that are lost at an upgrade: the old process listed its running tasks and ended
+// with its connections to nodes open and unread, and the new one, which had connections to these nodes
+// already, never heard of what had been written on those of the old one.
+TEST_CASE_FIXTURE(Upgrade, "a completion reported as tasks are handed over is told by the new process") {
+  Begin();
+  {
+    const HandoverFileLock lock(tmp);
+    AwaitHandover();
+    // A node reports on the connection of the request, or on another one if that has been closed.
+    (node->Ended() ? *next_node : *node).Say(Type::kRelease, kTask, Cause::kEnded);
+  }
+  End();
+  CHECK(next_client->Hear(Type::kRelease, kTask).cause == 16);
+}
+
+// Guards against the same where the report crosses the close: the node repeats it on the next connection that
+// is opened, and the new process opened none.
+TEST_CASE_FIXTURE(Upgrade, "a completion lost with a connection of the old process reaches the new one") {
+  bool dial_fails = false;
+  SUBCASE("on the next connection") {}
+  SUBCASE("on the next connection, of which the first dial is never answered") { dial_fails = true; }
+  Begin();
+  if (dial_fails) first.Clog();
+  AwaitHandover();
+  End();
+  if (dial_fails) {
+    new_process->Logged("dial failed");
+    first.Unclog();
+  }
+  Wire next = first.Accept();
+  next.Say(Type::kRelease, kTask, Cause::kEnded);
+  CHECK(next_client->Hear(Type::kRelease, kTask).cause == 16);
+}
+
 }  // namespace
 }  // namespace cluster_manager::story
