--- a/src/server/server_process_handover.cpp
+++ b/src/server/server_process_handover.cpp
@@ -112,8 +112,8 @@
   return request;
 }
 
-// The old process has closed its connections to nodes by now. Nodes repeat completions that crossed that close
-// on the next connection.
+// The old process has closed its connections to nodes by now. Nodes repeat completions that crossed that
+// close on the next connection.
 void ServerProcess::ApplyHandover(const Handover& handover) {
   const Time received_at = loop_.Now();
   std::size_t taken_tasks = 0;
