Take no refused dial for repeated completions as evidence of a node's death

Cause: the node had stopped listening and was not listed as draining yet. The dial for repeated completions was refused, made the silent open connection suspect, and the second one 0.4 s later counted as proof of death (n0.log: two `dial refused, 26 tasks running` at 14.69 and 15.09, the connection's reset at 18.55).

Change: where the node has another open connection, such a dial that is refused is neither evidence nor tried again.

Why it holds: a node that takes no new connection repeats nothing, and a process that has died resets its open ones.

Measured: 'a node that refuses the dial of the new process keeps the tasks that it runs' failed before and passes, 0 of 32 failed with 16 copies beside 8 busy processes.

--- a/src/nodes/connection_lifecycle.cpp
+++ b/src/nodes/connection_lifecycle.cpp
@@ -70,6 +70,15 @@
   DialOrRetry(node, &record);
 }
 
+// To be called where a dial was refused. Whether the dial was only for repeated completions: the node has
+// another connection and opens none any more, so it repeats nothing. That it no longer listens is no sign
+// that its process has died, which would have reset the other connection.
+bool NodeConnectionPool::StopWaitingForRepeatedCompletions(NodeRecord* record) const {
+  const bool is_connected = std::ranges::any_of(
+      record->connections, [this](Handle handle) { return !connections_.Get(handle)->IsDialing(); });
+  return is_connected && std::exchange(record->connection_wanted_since, 0) > 0;
+}
+
 void NodeConnectionPool::RemoveConnection(Handle handle) {
   NodeConnection* node_connection = connections_.Get(handle);
   if (node_connection == nullptr) return;
@@ -112,22 +121,24 @@
   RemoveConnection(handle);
   NodeRecord* record = &nodes_[node];
   const bool refused = ending == CloseReason::kRefused;
-  if (refused) {
-    record->incarnation_may_have_ended = true;
-  } else {
-    record->failure_detector.RecordUnanswered(dialed_at);
-  }
   ++counters.node_dials_failed;
   Log("node %u: dial %s, %zu requests and %zu health checks pending, %zu tasks running", node,
       refused ? "refused" : "failed", undelivered.size(), record->health_checks.size(),
       record->running_tasks.size());
-  const bool dead = DetectProcessDeath(node, record, dialed_at, refused);
+  const bool was_optional = refused && StopWaitingForRepeatedCompletions(record);
+  if (!refused) {
+    record->failure_detector.RecordUnanswered(dialed_at);
+  } else if (!was_optional) {
+    record->incarnation_may_have_ended = true;
+  }
+  const bool dead = !was_optional && DetectProcessDeath(node, record, dialed_at, refused);
   RerouteAttempts(node, record, undelivered);
   FailUnreachable(node);
   if (dead) events_->OnNodeProcessDied(node);
   record = &nodes_[node];
   if (dead) record->stop_requests.clear();
-  const bool must_redial = record->connections.empty() || refused || record->connection_wanted_since > 0;
+  const bool must_redial =
+      record->connections.empty() || (refused && !was_optional) || record->connection_wanted_since > 0;
   if (NeedsConnection(*record) && !record->removed && must_redial) ScheduleRedial(node, record);
 }
 
--- a/src/nodes/node_connection_pool.h
+++ b/src/nodes/node_connection_pool.h
@@ -178,6 +178,7 @@
   void DialOrRetry(NodeId node, NodeRecord* record);
   void ScheduleRedial(NodeId node, NodeRecord* record);
   void DialFailed(Handle handle, CloseReason ending);
+  bool StopWaitingForRepeatedCompletions(NodeRecord* record) const;
   bool DetectProcessDeath(NodeId node, NodeRecord* record, Time dialed_at, bool refused);
   static std::vector<std::pair<TaskId, AttemptId>> RemoveSentAttempts(NodeRecord* record, Handle handle);
   static bool MarkForResend(NodeRecord* record, Handle handle);
--- a/tests/completion_at_shutdown_test.cpp
+++ b/tests/completion_at_shutdown_test.cpp
@@ -14,6 +14,8 @@
 
 // Longer than a process accepts new connections after SIGTERM.
 constexpr std::chrono::milliseconds kAfterLastConnection{1000};
+// Longer than two dials of a node that refuses them are apart.
+constexpr std::chrono::milliseconds kLongerThanRedials{1000};
 
 struct PlannedRestart : Site {
   std::optional<Wire> client, node;
@@ -156,5 +158,19 @@
   CHECK(next_client->Hear(Type::kRelease, kTask).cause == 16);
 }
 
+// Guards against tasks that are reported as ended too early: the new process dialed nodes whose tasks it had
+// taken over, and a node that had stopped listening and was not listed as draining yet was taken for dead.
+TEST_CASE_FIXTURE(Upgrade, "a node that refuses the dial of the new process keeps the tasks that it runs") {
+  Begin();
+  first.Close();
+  AwaitHandover();
+  End();
+  new_process->Logged("dial refused");
+  std::this_thread::sleep_for(kLongerThanRedials);
+  next_client->NothingElse();
+  next_node->Say(Type::kRelease, kTask, Cause::kEnded);
+  CHECK(next_client->Hear(Type::kRelease, kTask).cause == 16);
+}
+
 }  // namespace
 }  // namespace cluster_manager::story
