Skip idle connections that a dial evicts while expired ones are being closed

What callers would see: a crash.

Cause: CloseExpiredConnections lists its connections, then dials for each. At the limit of descriptors a dial evicts the connection idle for longest, which may stand later in the list, and its record was used without a check. Change: an entry that is gone is skipped. Measured: the three tests of forgotten_node_connection_test.cpp pass.

--- a/src/nodes/connection_closing.cpp
+++ b/src/nodes/connection_closing.cpp
@@ -91,8 +91,10 @@
     if (IsExpired(node_connection, now)) expired.push_back(handle);
   });
   for (const Handle handle : expired) {
+    const NodeConnection* node_connection = connections_.Get(handle);
+    if (node_connection == nullptr) continue;  // evicted by the dial for an earlier one
     ++counters.node_connections_expired;
-    const NodeId node = connections_.Get(handle)->node;
+    const NodeId node = node_connection->node;
     CloseGracefully(handle);
     EnsureConnection(node, &nodes_[node]);
   }
