Log which process an attempt is written to, and where a retry goes

Change: with ROUTER_LOG_LEVEL=debug each written attempt has its task, connection, the age of its dial, the incarnation and the listed start of the node; each end of an attempt its node and outcome; each retry the rack and zone of its node; each transfer to an address successor the task and whether its attempt was queued or written. Counter attempts_retried. The info level and the order of events are as before.

--- a/src/dispatch/actions.cpp
+++ b/src/dispatch/actions.cpp
@@ -11,6 +11,32 @@
 using scheduling::EndReason;
 using scheduling::Outcome;
 
+namespace {
+
+const char* NameOf(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kOk:
+      return "completed";
+    case Outcome::kError:
+      return "error";
+    case Outcome::kRefused:
+      return "refused";
+    case Outcome::kTimedOut:
+      return "timed out";
+    case Outcome::kNoConnection:
+      return "no connection";
+    case Outcome::kAborted:
+      return "aborted";
+    case Outcome::kCancelled:
+      return "cancelled";
+    case Outcome::kNotSent:
+      return "not sent";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
 // --- Actions of the scheduler ----------------------------------------------------------------------------
 void Dispatcher::Execute(const scheduling::StartAttempt& action) {
   Request* request = requests_.Get(action.id);
@@ -21,7 +47,7 @@
   const Handle handle = action.id;
   const Time deadline =
       action.deadline > 0 ? std::min(action.deadline, request->task.deadline) : request->task.deadline;
-  ++request->attempt_count;
+  if (++request->attempt_count > 1) ++counters.attempts_retried;
   request->attempt_id = ++last_attempt_;
   request->required_read_position = 0;
   request->node = action.node;
@@ -38,7 +64,9 @@
   nodes_->StartAttempt(action.node, request->id, request->attempt_id, request->payload, deadline);
 }
 
-// Logs the cores that the task requests and the free cores of the chosen node in the endpoint list.
+// Logs the cores that the task requests and the free cores of the chosen node in the endpoint list. For a
+// retry, also the rack and zone that the list gives for the node: the next attempt of a task with an
+// idempotency key has to stay in the domain of the one before.
 void Dispatcher::LogAttempt(const Request& request) const {
   if (!IsDebugLogged()) return;
   const auto listed = listed_nodes_.find(request.node);
@@ -46,6 +74,10 @@
   LogDebug("attempt %llu: task %016llx, %g cores, sent to node %u with %g free cores in the endpoint list",
            static_cast<unsigned long long>(request.attempt_id), static_cast<unsigned long long>(request.id),
            request.task.cores, request.node, free_cores);
+  if (request.attempt_count == 1 || listed == listed_nodes_.end()) return;
+  LogDebug("attempt %llu: is attempt %d of class %d, rack %d, zone %d",
+           static_cast<unsigned long long>(request.attempt_id), request.attempt_count,
+           request.task.class_index, listed->second.entry.rack, listed->second.entry.zone);
 }
 
 void Dispatcher::Execute(const scheduling::CheckNodeHealth& action) {
@@ -120,6 +152,11 @@
 void Dispatcher::EndAttempt(Handle handle, Request* request, Outcome outcome, EndReason reason,
                             scheduling::LoadReport report) {
   loop_->Cancel(request->timer);
+  if (IsDebugLogged()) {
+    LogDebug("attempt %llu: task %016llx at node %u ended: %s",
+             static_cast<unsigned long long>(request->attempt_id),
+             static_cast<unsigned long long>(request->id), request->node, NameOf(outcome));
+  }
   Transition(request, RequestEvent::kAttemptEnded);
   scheduling::AttemptEnded end;
   end.id = handle;
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -57,6 +57,7 @@
   X(migrations_sent) \
   X(attempts_sent) \
   X(attempts_not_sent) \
+  X(attempts_retried) \
   X(attempt_cancellations_sent) \
   X(task_stops_sent) \
   X(health_checks_sent) \
--- a/src/nodes/address_successors.cpp
+++ b/src/nodes/address_successors.cpp
@@ -55,6 +55,13 @@
   const std::size_t running = TransferRunningTasks(&record, &successor_record, &tasks);
   TransferConnections(&record, successor, moved);
   std::ranges::sort(tasks);  // hash tables have no defined order
+  for (const TaskId id : tasks) {
+    LogDebug("task %016llx: transferred from node %u to its address successor %u, %s",
+             static_cast<unsigned long long>(id), node, successor,
+             successor_record.sent_attempts.contains(id)   ? "its attempt was written"
+             : successor_record.running_tasks.contains(id) ? "it is running"
+                                                           : "its attempt is queued");
+  }
   counters.tasks_moved_to_address_successor += tasks.size();
   if (!moved.empty() || !tasks.empty()) {
     Log("node %u: address taken over by node %u, transferred %zu connections, %zu requests and %zu running "
--- a/src/nodes/attempt_sending.cpp
+++ b/src/nodes/attempt_sending.cpp
@@ -104,11 +104,7 @@
       break;
   }
   ++counters.attempts_sent;
-  if (IsDebugLogged()) {
-    LogDebug("attempt %llu: written to node %u at %s, loop iteration %llu",
-             static_cast<unsigned long long>(queued.attempt), node_connection->node,
-             AddressText(record->address).c_str(), static_cast<unsigned long long>(loop_->iteration()));
-  }
+  LogWrite(*record, *node_connection, queued);
   record->sent_attempts[queued.id] = {queued.attempt, node_connection->transport->tag, loop_->iteration()};
   ++node_connection->unanswered_attempts;
   Connection* connection = node_connection->transport.get();
@@ -120,6 +116,21 @@
   connection->AppendBlock(bytes, class_end, bytes.size());
 }
 
+// Logs which process a task request goes to, and what its identity rests on: when the connection was dialed,
+// and how many processes at the address are known to have ended by then.
+void NodeConnectionPool::LogWrite(const NodeRecord& record, const NodeConnection& node_connection,
+                                  const QueuedAttempt& queued) const {
+  if (!IsDebugLogged()) return;
+  LogDebug(
+      "attempt %llu: task %016llx written to node %u at %s, connection %llu, dialed %lld ms ago, "
+      "incarnation %d, listed start %lld ms, loop iteration %llu",
+      static_cast<unsigned long long>(queued.attempt), static_cast<unsigned long long>(queued.id),
+      node_connection.node, AddressText(record.address).c_str(),
+      static_cast<unsigned long long>(node_connection.transport->tag),
+      static_cast<long long>((loop_->Now() - node_connection.dialed_at) / kMs), node_connection.incarnation,
+      static_cast<long long>(record.started_at / kMs), static_cast<unsigned long long>(loop_->iteration()));
+}
+
 void NodeConnectionPool::DeferAttempt(NodeId node, const QueuedAttempt& queued) {
   deferred_attempts_.push_back({node, queued});
   if (std::exchange(resume_scheduled_, true)) return;
--- a/src/nodes/node_connection_pool.h
+++ b/src/nodes/node_connection_pool.h
@@ -200,6 +200,8 @@
   // Attempts and stop requests.
   void AssignConnection(NodeId node, const QueuedAttempt& queued);
   void SendTaskRequest(NodeRecord* record, NodeConnection* node_connection, const QueuedAttempt& queued);
+  void LogWrite(const NodeRecord& record, const NodeConnection& node_connection,
+                const QueuedAttempt& queued) const;
   void DeferAttempt(NodeId node, const QueuedAttempt& queued);
   void ResumeDeferredAttempts();
   void RerouteAttempts(NodeId node, NodeRecord* record, const std::vector<QueuedAttempt>& undelivered);
