Play address reuse and groups of a zone or cell in the fault rigs

Cause: no rig saw keyed retries outside their group, since each stand-in deployment says group 'all', no node comes up at an address before the list tells of it, and the judge does not know where a node stands.

The judge has the rule 'inside its group', with the uid that the node itself recorded.

--- a/bench/faults/history.cpp
+++ b/bench/faults/history.cpp
@@ -90,6 +90,8 @@
 
 void History::ReadRig(const std::string& what, const json& record, Time t) {
   if (what == "end") ended_ = t;
+  if (what == "group") group_domains_[Text(record, "on")] = Text(record, "domain");
+  if (what == "place") places_[Text(record, "on")] = &record;
   if (what == "fault") {
     faults_[Text(record, "on")].push_back({t, kNever});
     const std::string kind = Text(record, "kind");
@@ -202,6 +204,13 @@
   }
 }
 
+std::string History::GroupOf(const std::string& class_name, const std::string& uid) const {
+  const auto domain = group_domains_.find(class_name);
+  const auto place = places_.find(uid);
+  if (domain == group_domains_.end() || domain->second == "all" || place == places_.end()) return "all";
+  return domain->second + " " + place->second->at(domain->second).dump();
+}
+
 bool History::Disturbed(const std::string& what, Time from, Time to) const {
   const auto it = faults_.find(what);
   if (it == faults_.end()) return false;
--- a/bench/faults/history.h
+++ b/bench/faults/history.h
@@ -78,8 +78,11 @@
 
   Time begun() const { return begun_; }
   Time ended() const { return ended_; }
-  const std::map<std::string, Task>& tasks() const { return tasks_; }           // by id
-  const std::map<std::string, Time>& booted() const { return booted_; }         // by uid
+  const std::map<std::string, Task>& tasks() const { return tasks_; }    // by id
+  const std::map<std::string, Time>& booted() const { return booted_; }  // by uid
+  // The name of the group of nodes that discard repeats of a request of this class that the node has; the
+  // same for all nodes where the records do not tell.
+  std::string GroupOf(const std::string& class_name, const std::string& uid) const;
   const std::vector<const nlohmann::json*>& listed() const { return listed_; }  // what the node list said
 
   // A fault on this process or pair touches [from, to].
@@ -115,6 +118,8 @@
   std::map<std::string, std::vector<Span>> faults_;  // by process or pair
   std::map<std::string, std::vector<Time>> resets_;  // by pair
   std::map<std::string, Time> booted_;
+  std::map<std::string, std::string> group_domains_;     // by class: all, zone or cell
+  std::map<std::string, const nlohmann::json*> places_;  // by uid
   std::unordered_map<std::string, std::vector<Task*>> links_;
   std::vector<const nlohmann::json*> listed_;
 };
--- a/bench/faults/injector.py
+++ b/bench/faults/injector.py
@@ -133,16 +133,45 @@
             self.tell([n])
 
     def boot(self, n):
+        old, uid, boot_ms = self.listen_again(n)
+        self.list_boot(n, old, uid, boot_ms)
+
+    def listen_again(self, n):
+        """Another process listens at the address; returns what the list is to say of it."""
         old = dict(self.entry(n), state="terminated", boot_ms=0)
         self.lives[n] += 1
-        self.uids[n] = f"s-{n + 1 + 0x1000 * self.lives[n]:08x}"
-        self.boots[n] = int(time.time() * 1000)
-        self.heard_free.pop(n, None)
+        uid = f"s-{n + 1 + 0x1000 * self.lives[n]:08x}"
+        self.place(n, uid)
         self.nodes.say(f"boot {n}")
         self.order([f"m{m}>n{n}" for m in range(len(self.managers))], "up @")
+        return old, uid, int(time.time() * 1000)
+
+    def list_boot(self, n, old, uid, boot_ms):
+        self.uids[n] = uid
+        self.boots[n] = boot_ms
+        self.heard_free.pop(n, None)
         self.list_says(n, "in_service")
         self.tell([n], [old, self.entry(n)])
 
+    def do_replace(self, fault):
+        """A node's process dies; for_ms later one of another hall and cell listens there, told delay_ms after that."""
+        for name in fault["on"]:
+            n = int(name[1:])
+            if self.boots[n] < 0:
+                continue
+            self.boots[n] = -1
+            self.order([f"m{m}>n{n}" for m in range(len(self.managers))], "down @")
+            self.nodes.say(f"die {n}")
+            self.after(fault["for_ms"], self.replaced, n, fault["delay_ms"])
+
+    def replaced(self, n, told_after_ms):
+        old_hall, old_cell = self.halls[n], self.cells[n]
+        self.halls[n] = (old_hall + 1) % self.fleet["halls"]
+        self.cells[n] = (old_cell + 1) % 4
+        old, uid, boot_ms = self.listen_again(n)
+        old.update(az=self.settings["Zones"][old_hall], pod_group=old_cell)
+        self.after(told_after_ms, self.list_boot, n, old, uid, boot_ms)
+
     def do_pace(self, fault):
         for name in fault["on"]:
             self.nodes.say(f"pace {name[1:]} {fault['share']}")
--- a/bench/faults/judge.h
+++ b/bench/faults/judge.h
@@ -7,11 +7,12 @@
 //          connection was closed in order before an answer), over (id figure), over_again (id), answer_again
 //          (id), hand (id m uid): a client
 //   n3     boot (uid), died (uid), arrive (id uid class name), refuse (id), answer (id),
-//          end (id why: over, cut, given_up, died): a node
+//          end (id why: over, cut, given_up, error, died): a node
 //   m0>n3  offered (id link), released (id link), closed (link): as written by the cluster manager
 //   list   told (uid state)
 //   rig    fault (on, kind), healed (on, kind): `on` is a process ("m1", "list") or a pair ("o1>m0");
-//          end (the trial's)
+//          end (the trial's); place (on zone cell): `on` is the uid of a node; group (on domain): the nodes
+//          that discard repeats of class `on`, all, zone or cell
 //
 // Sources of the rules: the platform's protocol, "The rules on sockets", with its 50 ms of slack, and `slack`
 // for a machine that is busy.
--- a/bench/faults/rules.cpp
+++ b/bench/faults/rules.cpp
@@ -35,6 +35,7 @@
   for (const auto& [id, task] : history_.tasks()) {
     CheckOutcome(id, task);
     CheckAttempts(id, task);
+    CheckGroup(id, task);
     CheckEnds(id, task);
   }
   CheckSettlements();
@@ -103,6 +104,25 @@
     Broken("within its window", id + " was offered again after the key's time", task);
 }
 
+void Rules::CheckGroup(const std::string& id, const Task& task) {
+  if (task.class_name != "card-worker") return;
+  std::vector<const Attempt*> arrived;
+  for (const Attempt& attempt : task.attempts) {
+    if (attempt.arrived != kNever) arrived.push_back(&attempt);
+  }
+  std::ranges::sort(arrived, {}, [](const Attempt* attempt) { return attempt->arrived; });
+  const Attempt* first = nullptr;  // that may have run
+  for (const Attempt* attempt : arrived) {
+    const std::string group = history_.GroupOf(task.class_name, attempt->uid);
+    if (first != nullptr && group != history_.GroupOf(task.class_name, first->uid)) {
+      Broken("inside its group",
+             id + " was at " + first->uid + " and then at " + attempt->uid + " of " + group, task);
+      return;
+    }
+    if (first == nullptr && !attempt->refused) first = attempt;
+  }
+}
+
 void Rules::CheckSettlements() {
   std::map<std::string, std::vector<const Task*>> by_name;
   for (const auto& [id, task] : history_.tasks()) {
@@ -196,9 +216,23 @@
   }
 }
 
+// Whether over two thirds of the sends from `first` to `last` came after the list had told of the start.
+bool Rules::FallIsOfTheTold(const std::string& uid, const std::vector<Send>& sends, std::size_t first,
+                            std::size_t last) const {
+  Time told = kNever;
+  for (const json* record : history_.listed()) {
+    if (Text(*record, "uid") == uid && Text(*record, "state") == "in_service")
+      told = std::min(told, At(*record));
+  }
+  if (told == kNever) told = 0;  // the records do not say: all count as told
+  std::size_t after = 0;
+  for (std::size_t i = first; i <= last; ++i) after += sends[i].first >= told;
+  return 3 * after > 2 * (last - first + 1);
+}
+
 void Rules::CheckColdNodes() {
-  constexpr Time kStartOfTrial = 2 * kSecond;                              // what booted in it counts as warm
-  std::map<std::string, std::vector<std::pair<Time, const Task*>>> sends;  // by uid
+  constexpr Time kStartOfTrial = 2 * kSecond;      // what booted in it counts as warm
+  std::map<std::string, std::vector<Send>> sends;  // by uid
   for (const auto& [id, task] : history_.tasks()) {
     for (const Attempt& a : task.attempts) {
       const auto booted = history_.booted().find(a.uid);
@@ -213,6 +247,7 @@
     for (std::size_t i = 0; i < all.size(); ++i) {
       while (all[i].first - all[first].first >= terms_.fall) ++first;
       if (static_cast<int>(i - first + 1) <= terms_.cold_sends) continue;
+      if (!FallIsOfTheTold(uid, all, first, i)) continue;
       Broken("cold nodes", uid + " got " + std::to_string(i - first + 1) + " sends within its fall",
              *all[i].second);
       break;
--- a/bench/faults/rules.h
+++ b/bench/faults/rules.h
@@ -1,7 +1,10 @@
 // The rules that a trial is held to, each checked over the whole history.
 #pragma once
 
+#include <cstddef>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "faults/history.h"
 #include "faults/judge.h"
@@ -21,6 +24,8 @@
   void CheckOutcome(const std::string& id, const Task& task);
   // How often it was tried, and never in two places at once.
   void CheckAttempts(const std::string& id, const Task& task);
+  // A keyed request that may have run goes only to nodes that know its key.
+  void CheckGroup(const std::string& id, const Task& task);
   // What stood and is over is told; what still runs is not said to be over.
   void CheckEnds(const std::string& id, const Task& task);
   void CheckToldTooEarly(const std::string& id, const Task& task, const Attempt& stood);
@@ -32,6 +37,9 @@
   void CheckDrains();
   // A cold node gets few sends within its fall.
   void CheckColdNodes();
+  using Send = std::pair<Time, const Task*>;
+  bool FallIsOfTheTold(const std::string& uid, const std::vector<Send>& sends, std::size_t first,
+                       std::size_t last) const;
   void Broken(const std::string& rule, const std::string& about, const Task& task);
 
   const History& history_;
--- a/bench/faults/scenario.cpp
+++ b/bench/faults/scenario.cpp
@@ -1,6 +1,7 @@
 #include "faults/scenario.h"
 
 #include <algorithm>
+#include <iterator>
 #include <pcg_random.hpp>
 #include <stdexcept>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
@@ -20,14 +21,30 @@
 struct Needs {
   const char *what, *fields;
 };
-constexpr Needs kNeeds[] = {{"cut", "from to"},       {"slow", "from to delay_ms for_ms"},
-                            {"reset", "from to"},     {"half", "from to"},
-                            {"kill", "on"},           {"stop", "on for_ms"},
-                            {"restart", "on"},        {"die", "on"},
-                            {"pace", "on share"},     {"drain", "on"},
-                            {"gone", "on"},           {"list_lag", "delay_ms for_ms"},
+constexpr Needs kNeeds[] = {{"cut", "from to"},
+                            {"slow", "from to delay_ms for_ms"},
+                            {"reset", "from to"},
+                            {"half", "from to"},
+                            {"kill", "on"},
+                            {"stop", "on for_ms"},
+                            {"restart", "on"},
+                            {"die", "on"},
+                            {"replace", "on for_ms delay_ms"},
+                            {"pace", "on share"},
+                            {"drain", "on"},
+                            {"gone", "on"},
+                            {"list_lag", "delay_ms for_ms"},
                             {"list_silent", "for_ms"}};
 
+// Drawn from the seed, so that each scenario is played under every group over three seeds in a row.
+constexpr const char* kGroups[] = {"all", "zone", "cell"};
+
+std::string DrawGroup(const std::string& name, std::uint64_t seed) {
+  std::uint64_t sum = seed;
+  for (const char c : name) sum += static_cast<unsigned char>(c);
+  return kGroups[sum % std::size(kGroups)];
+}
+
 std::string Where(const std::vector<std::string>& path) {
   std::string text;
   for (const std::string& part : path) {
@@ -151,6 +168,7 @@
                {"seed", seed},
                {"fleet", scenario.at("fleet")},
                {"faults", json::array()}};
+  if (!plan["fleet"].contains("group")) plan["fleet"]["group"] = DrawGroup(scenario.at("name"), seed);
   std::uint64_t stream = 0;
   for (const json& fault : scenario.at("faults")) {
     Drawing drawing(scenario.at("fleet"), seed, ++stream);
--- a/tests/judge_test.cpp
+++ b/tests/judge_test.cpp
@@ -243,6 +243,35 @@
   CHECK(Rules() == (late ? Expected{"within its window"} : Expected{}));
 }
 
+TEST_CASE_FIXTURE(Trial, "a keyed task that may have run and is offered to a node of another group") {
+  std::string domain = "zone";
+  bool broken = true;
+  bool refused = false;
+  SUBCASE("of another zone") {}
+  SUBCASE("of another cell") { domain = "cell"; }
+  SUBCASE("where all nodes know the key") {
+    domain = "all";
+    broken = false;
+  }
+  SUBCASE("where the first node has refused it") {
+    refused = true;
+    broken = false;
+  }
+  Say(1, "rig", "group", {{"on", "card-worker"}, {"domain", domain}});
+  Say(1, "rig", "place", {{"on", "s-1"}, {"zone", "hall-a"}, {"cell", 1}});
+  Say(1, "rig", "place", {{"on", "s-2"}, {"zone", "hall-b"}, {"cell", 2}});
+  Ask("a1", 1000, "card-worker");
+  Offer("a1", 1001, "n1", "s-1", "card-worker");
+  if (refused) {
+    Say(1010, "n1", "refuse", {{"id", "a1"}});
+  } else {
+    End("a1", 1010, "error");
+  }
+  Offer("a1", 1100, "n2", "s-2", "card-worker");
+  Owner("a1", 1200, "served", "s-2");
+  CHECK(Rules() == (broken ? Expected{"inside its group"} : Expected{}));
+}
+
 TEST_CASE_FIXTURE(Trial, "an end that is not told, or too late") {
   Served("a1", 1000);
   SUBCASE("never") {
@@ -352,6 +381,19 @@
     sends(25, 10);
     CHECK(Rules() == Expected{"cold nodes"});
   }
+  const auto told_at = [this](Time ms) {
+    Say(ms, "list", "told", {{"uid", "s-9"}, {"node", "n2"}, {"state", "in_service"}});
+  };
+  SUBCASE("under two thirds of them after the list has told of its start") {
+    told_at(11'105);
+    sends(25, 10);
+    CHECK(Rules().empty());
+  }
+  SUBCASE("over two thirds of them after the list has told of its start") {
+    told_at(11'065);
+    sends(25, 10);
+    CHECK(Rules() == Expected{"cold nodes"});
+  }
   SUBCASE("many, but slowly") {
     sends(60, 70);
     CHECK(Rules().empty());
