Retry keyed requests only where the process behind the connection is known

What callers saw: a keyed request was offered to two nodes of different zones or racks, the second of which does not know its key.

Cause: who listens at an address is known from the endpoint list alone, which is late, and every decision took the listed node for the process that answered. A retry was decided for the old node and written to the next one at its address (a queued attempt moved along with its dial); an attempt that the next one had received stayed recorded under the old node, also after the list had told; and before the list told nothing was in doubt at all.

A retry inside a zone or rack goes to the same process, or between confirmed ones, and never waits for a dial. Where neither can come in time, the request fails at once and its client asks again. First attempts, classes without a key and group 'all' are as before. Attempts that were not written when an address changes hands are placed again. What was written or runs there is accounted to the new node in load, spread and slow start (event NodeReplaced). A task belongs to the successor if its connection was established, not dialed, after the successor's start.

--- a/include/scheduling/events.h
+++ b/include/scheduling/events.h
@@ -126,6 +126,15 @@
   LoadReport report;
 };
 
+// The process that answered at the address of `node` was that of `successor`, as the endpoint list shows now.
+// The caller sends this before the EndpointListChanged event that shows it.
+struct NodeReplaced {
+  NodeId node = 0;
+  NodeId successor = 0;
+  std::vector<RequestId> requests;  // with an attempt or running task at `node` that is the successor's
+  std::vector<Time> sends;          // when attempts were sent to the successor, ended ones included
+};
+
 // The client no longer waits for the request.
 struct RequestCancelled {
   RequestId id = 0;
@@ -179,7 +188,7 @@
 };
 
 using Event = std::variant<EndpointListChanged, TaskArrived, TaskClaimed, TaskAccepted, AttemptEnded,
-                           RequestCancelled, TaskReported, HealthCheckCompleted, TimerFired,
+                           NodeReplaced, RequestCancelled, TaskReported, HealthCheckCompleted, TimerFired,
                            PeerMessageReceived, ZonePolicyChanged, SettingsChanged, ShutdownScheduled>;
 
 }  // namespace scheduling
--- a/include/scheduling/scheduler.h
+++ b/include/scheduling/scheduler.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "scheduling/actions.h"
@@ -39,6 +40,26 @@
   ~ZonePolicy() = default;
 };
 
+// Tells what is known of the processes that attempts reach: the endpoint list is late, and another node's
+// process may listen at a node's address. Asked only for requests of classes with an idempotency key whose
+// repeats are discarded in a zone or rack, once an attempt may have run. Implemented by the caller and called
+// from within Scheduler::Handle.
+class NodeIdentities {
+ public:
+  // The node whose process received the first attempt of the request that may have run. Empty while unknown.
+  virtual std::optional<NodeId> FirstNode(RequestId request) = 0;
+  // Whether an attempt of the request at the node can be sent to the process that received that first
+  // attempt.
+  virtual bool ReachesFirstProcess(RequestId request, NodeId node) = 0;
+  // Whether an attempt at the node can be sent to a process that is known to be the node's.
+  virtual bool ReachesConfirmedProcess(RequestId request, NodeId node) = 0;
+  // Whether the process of that first attempt can be reached, or its node is known by `until`.
+  virtual bool IsFirstProcessUsableBy(RequestId request, Time until) = 0;
+
+ protected:
+  ~NodeIdentities() = default;
+};
+
 // Selects the node on which each task runs. Memory use grows with the number of listed nodes, services with
 // running tasks, and open requests.
 class Scheduler {
@@ -52,6 +73,9 @@
 
   // Sets the zone policy; null, the initial value, means none. The policy must outlive the scheduler.
   void SetZonePolicy(ZonePolicy* policy);
+  // Sets what is known of the nodes' processes; with null, the initial value, each attempt is taken to reach
+  // the node that it is sent to. The identities must outlive the scheduler.
+  void SetNodeIdentities(NodeIdentities* identities);
   // Handles one event. `now` must not decrease between calls. The caller carries out the actions in the order
   // returned; the reference is valid until the next call.
   const std::vector<Action>& Handle(const Event& event, Time now);
--- a/src/discovery/endpoint_list_watcher.cpp
+++ b/src/discovery/endpoint_list_watcher.cpp
@@ -304,6 +304,7 @@
 void EndpointListWatcher::RecordActivity() {
   received_activity_ = true;
   last_activity_at_ = loop_->Now();
+  events_->OnEndpointListContact();
 }
 
 void EndpointListWatcher::ReportNoChangeIfPending() {
--- a/src/dispatch/actions.cpp
+++ b/src/dispatch/actions.cpp
@@ -35,6 +35,12 @@
   return "unknown";
 }
 
+// Whether a task may run after its attempt has ended so without having been accepted.
+bool MayHaveRun(Outcome outcome) {
+  return outcome == Outcome::kError || outcome == Outcome::kTimedOut || outcome == Outcome::kAborted ||
+         outcome == Outcome::kCancelled;
+}
+
 }  // namespace
 
 // --- Actions of the scheduler ----------------------------------------------------------------------------
@@ -61,7 +67,22 @@
   });
   if (zone_failover_ != nullptr) zone_failover_->RecordRequest(action.node, request->attempt_started_at);
   LogAttempt(*request);
-  nodes_->StartAttempt(action.node, request->id, request->attempt_id, request->payload, deadline);
+  nodes_->StartAttempt(action.node, request->id, request->attempt_id, request->payload, deadline,
+                       RestrictionFor(*request));
+}
+
+RetryRestriction Dispatcher::RestrictionFor(const Request& request) {
+  const auto& settings = classes_.settings().classes[static_cast<std::size_t>(request.task.class_index)];
+  const bool restricted = request.first_peer != 0 &&
+                          settings.retry_safety == scheduling::RetrySafety::kIdempotencyKey &&
+                          settings.key_scope != scheduling::FailureDomain::kCluster;
+  if (!restricted) return {};
+  const bool first_known = nodes_->ConfirmedNode(request.first_peer).has_value();
+  if (!first_known) ++counters.retries_to_same_process;
+  LogDebug("attempt %llu: only in the domain of the first attempt, whose process is %s",
+           static_cast<unsigned long long>(request.attempt_id),
+           first_known ? "known" : "not known: only to the same process");
+  return {request.first_peer, first_known};
 }
 
 // Logs the cores that the task requests and the free cores of the chosen node in the endpoint list. For a
@@ -157,6 +178,7 @@
              static_cast<unsigned long long>(request->attempt_id),
              static_cast<unsigned long long>(request->id), request->node, NameOf(outcome));
   }
+  if (request->first_peer == 0 && MayHaveRun(outcome)) request->first_peer = request->peer;
   Transition(request, RequestEvent::kAttemptEnded);
   scheduling::AttemptEnded end;
   end.id = handle;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -53,6 +53,7 @@
   clients_ = clients;
   nodes_ = nodes;
   discovery_ = discovery;
+  scheduler_.SetNodeIdentities(this);
 }
 
 void Dispatcher::SetZoneFailover(zone_failover::ZoneFailover* zone_failover) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -33,7 +34,10 @@
 namespace cluster_manager {
 
 // Implements the event interfaces of ports.h on top of the scheduler.
-class Dispatcher final : public ClientEvents, public NodeEvents, public DiscoveryEvents {
+class Dispatcher final : public ClientEvents,
+                         public NodeEvents,
+                         public DiscoveryEvents,
+                         public scheduling::NodeIdentities {
  public:
   // How long to wait for a node to confirm that it has stopped a task.
   static constexpr Time kStopTimeout = 8 * kSecond;
@@ -89,7 +93,7 @@
   void OnRejectedAtAdmission(int class_index) override {
     ++class_counters_[static_cast<std::size_t>(class_index)]->throttled;
   }
-  AttemptPermission CheckAttemptAllowed(TaskId id, AttemptId attempt) override;
+  AttemptPermission CheckAttemptAllowed(TaskId id, AttemptId attempt, PeerId peer) override;
   void OnAttemptAccepted(NodeId node, TaskId id, AttemptId attempt, std::string_view description) override;
   void OnAttemptEnded(NodeId node, TaskId id, AttemptId attempt, const NodeReply& reply) override;
   void OnTaskEnded(NodeId node, TaskId id, const NodeReply& reply) override;
@@ -99,9 +103,17 @@
   void OnReachabilityResult(NodeId node, scheduling::Outcome outcome, Time duration) override;
   void OnNodeProcessDied(NodeId node) override;
   void OnNodePresumedStopped(NodeId node) override;
-  void OnAddressSuccessor(NodeId node, NodeId successor, const std::vector<TaskId>& tasks) override;
+  void OnAddressSuccessor(NodeId node, NodeId successor, const std::vector<TaskId>& tasks,
+                          const std::vector<Time>& sends) override;
   void OnEndpointListChanged(scheduling::EndpointListUpdate kind, std::int64_t version,
                              const std::vector<ListedNode>& nodes) override;
+  void OnEndpointListContact() override { nodes_->RecordListContact(); }
+
+  // scheduling::NodeIdentities; called by the scheduler. A request is the handle of one.
+  std::optional<NodeId> FirstNode(scheduling::RequestId request) override;
+  bool ReachesFirstProcess(scheduling::RequestId request, NodeId node) override;
+  bool ReachesConfirmedProcess(scheduling::RequestId request, NodeId node) override;
+  bool IsFirstProcessUsableBy(scheduling::RequestId request, Time until) override;
 
  private:
   struct Request {
@@ -114,6 +126,8 @@
     AttemptId attempt_id = 0;                     // of the latest attempt
     std::uint64_t required_read_position = 0;     // see ClientPort::IsClientWaiting
     NodeId node = 0;                              // of the latest attempt
+    PeerId peer = 0;                              // that the latest attempt was written to; 0: none
+    PeerId first_peer = 0;                        // the first that may have run the task; 0: none
     Time attempt_started_at = 0;                  // of the latest attempt; before the first: arrival time
     Handle timer = 0;                             // time-out of the open attempt or of the stop
     ClassCounters* counters = nullptr;            // of the request's class
@@ -137,6 +151,8 @@
   void ExecuteAction(const scheduling::Action& action);
   void Execute(const scheduling::StartAttempt& action);
   void LogAttempt(const Request& request) const;
+  // The processes that a retry of the request may be written to.
+  RetryRestriction RestrictionFor(const Request& request);
   void Execute(const scheduling::CancelAttempt& action);
   void Execute(const scheduling::RejectRequest& action);
   void Execute(const scheduling::FailRequest& action);
--- a/src/dispatch/endpoint_list.cpp
+++ b/src/dispatch/endpoint_list.cpp
@@ -32,14 +32,16 @@
   Log("node %u: draining and silent, presumed stopped; %zu tasks ended as lost", node, lost);
 }
 
-// The scheduler keeps accounting for the tasks under the old node: it has no event for moving a task, and the
-// successor's load is visible in the endpoint list.
-void Dispatcher::OnAddressSuccessor(NodeId node, NodeId successor, const std::vector<TaskId>& tasks) {
+void Dispatcher::OnAddressSuccessor(NodeId node, NodeId successor, const std::vector<TaskId>& tasks,
+                                    const std::vector<Time>& sends) {
+  scheduling::NodeReplaced replaced{node, successor, {}, sends};
   for (const TaskId id : tasks) {
     Request* request = FindRequest(id);
-    if (request == nullptr || !IsAssigned(request->state)) continue;
-    if (request->node == node) request->node = successor;
+    if (request == nullptr || !IsAssigned(request->state) || request->node != node) continue;
+    request->node = successor;
+    replaced.requests.push_back(handle_by_task_.at(id));
   }
+  if (!replaced.requests.empty() || !sends.empty()) HandleEvent(replaced);
 }
 
 void Dispatcher::OnEndpointListChanged(scheduling::EndpointListUpdate kind, std::int64_t version,
--- a/src/dispatch/node_events.cpp
+++ b/src/dispatch/node_events.cpp
@@ -12,11 +12,13 @@
   return request->attempt_id == attempt ? request : nullptr;
 }
 
-AttemptPermission Dispatcher::CheckAttemptAllowed(TaskId id, AttemptId attempt) {
+AttemptPermission Dispatcher::CheckAttemptAllowed(TaskId id, AttemptId attempt, PeerId peer) {
   Request* request = FindRequestByAttempt(id, attempt);
   if (request == nullptr || !IsUnanswered(request->state)) return AttemptPermission::kDenied;
-  if (clients_->IsClientWaiting(request->client_connection, &request->required_read_position))
+  if (clients_->IsClientWaiting(request->client_connection, &request->required_read_position)) {
+    request->peer = peer;
     return AttemptPermission::kGranted;
+  }
   ++counters.attempts_postponed;
   return AttemptPermission::kRetryLater;
 }
@@ -42,7 +44,7 @@
 }
 
 void Dispatcher::ReportAttemptToZoneFailover(NodeId node, const Request& request, const NodeReply& reply) {
-  if (zone_failover_ == nullptr) return;
+  if (zone_failover_ == nullptr || reply.attempt_outcome == Outcome::kNotSent) return;
   if (reply.attempt_outcome == Outcome::kNoConnection) {
     zone_failover_->RecordUnanswered(node, request.attempt_started_at);
   } else if (reply.attempt_outcome != Outcome::kAborted) {
@@ -117,4 +119,26 @@
   }
 }
 
+// --- scheduling::NodeIdentities ---------------------------------------------------------------------------
+
+std::optional<NodeId> Dispatcher::FirstNode(scheduling::RequestId request) {
+  const Request* found = requests_.Get(request);
+  return found == nullptr ? std::nullopt : nodes_->ConfirmedNode(found->first_peer);
+}
+
+bool Dispatcher::ReachesFirstProcess(scheduling::RequestId request, NodeId node) {
+  const Request* found = requests_.Get(request);
+  return found != nullptr && found->first_peer != 0 && nodes_->CanReach(node, {found->first_peer, false});
+}
+
+bool Dispatcher::ReachesConfirmedProcess(scheduling::RequestId request, NodeId node) {
+  const Request* found = requests_.Get(request);
+  return found != nullptr && found->first_peer != 0 && nodes_->CanReach(node, {found->first_peer, true});
+}
+
+bool Dispatcher::IsFirstProcessUsableBy(scheduling::RequestId request, Time until) {
+  const Request* found = requests_.Get(request);
+  return found != nullptr && nodes_->IsPeerUsableBy(found->first_peer, until);
+}
+
 }  // namespace cluster_manager
--- a/src/dispatch/ports.h
+++ b/src/dispatch/ports.h
@@ -17,6 +17,7 @@
 
 #include "containers/block_pool.h"
 #include "containers/slot_table.h"
+#include "failure_detection/peer_identities.h"
 #include "net/timer_wheel.h"
 #include "scheduling/scheduler.h"
 
@@ -52,6 +53,16 @@
   std::optional<NodeId> running_on;  // for a claim: the node that runs the task
 };
 
+using failure_detection::PeerId;
+
+// The processes that a retry may be written to: `peer`, the one that received an earlier attempt, and, with
+// `allows_confirmed`, any that is known to be the chosen node's. Attempts that no node can have run yet have
+// no such restriction.
+struct RetryRestriction {
+  PeerId peer = 0;  // 0: no restriction
+  bool allows_confirmed = false;
+};
+
 // A node in the endpoint list.
 struct ListedNode {
   scheduling::NodeEntry entry;
@@ -95,9 +106,10 @@
   virtual void UpdateNode(const ListedNode& node) = 0;
   // Starts an attempt. The request is written as soon as a connection is established and
   // NodeEvents::CheckAttemptAllowed, called immediately before the write, permits it. `deadline`: when the
-  // dispatcher stops waiting for the reply.
+  // dispatcher stops waiting for the reply. A restricted attempt is written only on an established connection
+  // that `restriction` allows; where there is none, it ends with Outcome::kNotSent.
   virtual void StartAttempt(NodeId node, TaskId id, AttemptId attempt, const ForwardedPayload& payload,
-                            Time deadline) = 0;
+                            Time deadline, const RetryRestriction& restriction) = 0;
   // Whether the attempt is queued until a connection is established or CheckAttemptAllowed permits it; no
   // byte of it has been written.
   virtual bool IsQueued(NodeId node, TaskId id) const = 0;
@@ -116,6 +128,14 @@
   virtual void CheckReachability(NodeId node) = 0;
   // Closes the connections to the node if it has no open attempt, running task or pending check.
   virtual void CloseIdleConnections(NodeId node) = 0;
+  // Whether an attempt at the node can be written at once on a connection that `restriction` allows.
+  virtual bool CanReach(NodeId node, const RetryRestriction& restriction) = 0;
+  // The node whose process this peer is; empty while that is not known.
+  virtual std::optional<NodeId> ConfirmedNode(PeerId peer) = 0;
+  // Whether the connection to the peer is open, or its node is known by `until` at the latest.
+  virtual bool IsPeerUsableBy(PeerId peer, Time until) = 0;
+  // An event or comment was received from discovery.
+  virtual void RecordListContact() = 0;
   // Marks a task as orphaned: it is treated as ended although its node did not report a completion, because
   // the node is silent or was removed from the endpoint list. It is stopped there once a message from the
   // node arrives, or at once over a connection that is still established.
@@ -182,8 +202,8 @@
 // Reports messages from nodes and the state of their processes.
 class NodeEvents {
  public:
-  // Decides whether an attempt may be written; no other check is made before the write.
-  virtual AttemptPermission CheckAttemptAllowed(TaskId id, AttemptId attempt) = 0;
+  // Decides whether an attempt may be written to the peer; no other check is made before the write.
+  virtual AttemptPermission CheckAttemptAllowed(TaskId id, AttemptId attempt, PeerId peer) = 0;
   // The node has accepted the attempt and runs the task.
   virtual void OnAttemptAccepted(NodeId node, TaskId id, AttemptId attempt, std::string_view description) = 0;
   // The attempt ended without having been accepted.
@@ -201,9 +221,11 @@
   virtual void OnNodeProcessDied(NodeId node) = 0;
   // A draining node has been silent for too long and is presumed stopped: its tasks are treated as ended.
   virtual void OnNodePresumedStopped(NodeId node) = 0;
-  // The endpoint list now assigns the node's address to `successor`. `tasks`: the tasks that the
-  // successor's process accepted at that address while the list still assigned it to `node`.
-  virtual void OnAddressSuccessor(NodeId node, NodeId successor, const std::vector<TaskId>& tasks) = 0;
+  // The endpoint list now assigns the node's address to `successor`. `tasks`: the tasks whose attempts were
+  // written to or accepted by the successor's process at that address while the list still assigned it to
+  // `node`. `sends`: the times at which attempts were written to it, ended ones included.
+  virtual void OnAddressSuccessor(NodeId node, NodeId successor, const std::vector<TaskId>& tasks,
+                                  const std::vector<Time>& sends) = 0;
 
  protected:
   ~NodeEvents() = default;
@@ -215,6 +237,8 @@
   // `nodes`: the changed entries or all entries, depending on `kind`; empty if the request failed.
   virtual void OnEndpointListChanged(scheduling::EndpointListUpdate kind, std::int64_t version,
                                      const std::vector<ListedNode>& nodes) = 0;
+  // An event or comment was received.
+  virtual void OnEndpointListContact() = 0;
 
  protected:
   ~DiscoveryEvents() = default;
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -58,6 +58,9 @@
   X(attempts_sent) \
   X(attempts_not_sent) \
   X(attempts_retried) \
+  X(attempts_withdrawn) \
+  X(retries_withheld) \
+  X(retries_to_same_process) \
   X(attempt_cancellations_sent) \
   X(task_stops_sent) \
   X(health_checks_sent) \
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -43,6 +43,12 @@
   ev_loop_destroy(loop_);
 }
 
+Time EventLoop::MonotonicNow() {
+  timespec time{};
+  clock_gettime(CLOCK_MONOTONIC, &time);
+  return time.tv_sec * kSecond + time.tv_nsec;
+}
+
 Time EventLoop::Now() {
   now_ = std::max(now_, UnixNow());
   return now_;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -31,6 +31,8 @@
   }
   Time Now();                        // reads the Unix clock; never goes back
   Time now() const { return now_; }  // the result of the last Now()
+  // Reads the monotonic clock, which steps of the Unix clock do not change; for spans only.
+  static Time MonotonicNow();
   // Everything that arrived before this time was among the events of this iteration or an earlier one. It is
   // taken just before the loop polls the kernel, since a signal may end that call before the kernel reports
   // what arrived during it.
--- a/src/nodes/address_successors.cpp
+++ b/src/nodes/address_successors.cpp
@@ -1,7 +1,7 @@
 // Address reuse. The process of a node can be replaced at its address by that of a node with another uid
-// before the endpoint list shows the change. Until then, tasks placed in the new process are recorded under
-// the old node. Once the endpoint list names the address successor, they are transferred to its record, so
-// that the removal of the old node does not end them.
+// before the endpoint list shows the change. Until then, attempts written to the new process are recorded
+// under the old node. Once the endpoint list names the address successor, they are transferred to its record,
+// and the dispatcher and the scheduler account them there.
 #include <algorithm>
 #include <utility>
 
@@ -37,11 +37,12 @@
 }
 
 // Whether a task that was placed at the address of `record` runs in the process of the successor. Where the
-// endpoint list states when the successor started, this holds if the connection was dialed at or after that
-// time. Otherwise it holds if the task was placed in the current incarnation and an earlier one has ended.
+// endpoint list states when the successor started, this holds if the connection was established at or after
+// that time. Otherwise it holds if the task was placed in the current incarnation and an earlier one has
+// ended.
 bool NodeConnectionPool::BelongsToSuccessor(const NodeRecord& record, const NodeRecord& successor_record,
                                             const Placement& placement) {
-  if (successor_record.started_at > 0) return placement.dialed_at >= successor_record.started_at;
+  if (successor_record.started_at > 0) return placement.established_at >= successor_record.started_at;
   return placement.incarnation > 0 && placement.incarnation == record.incarnations_ended &&
          !record.incarnation_may_have_ended;
 }
@@ -50,17 +51,20 @@
   NodeRecord& record = nodes_[node];
   NodeRecord& successor_record = nodes_[successor];
   record.address_successor = successor;
+  ConfirmPeers(record);
+  const int current_incarnation = record.incarnation_may_have_ended ? 0 : record.incarnations_ended;
+  const std::vector<Time> sends =
+      peers_.Apply({node, successor, successor_record.started_at, current_incarnation});
   const std::vector<Handle> moved = ConnectionsOfSuccessor(record, successor_record);
-  std::vector<TaskId> tasks = TransferAttempts(&record, &successor_record, moved);
+  std::vector<TaskId> tasks = TransferSentAttempts(&record, &successor_record, moved);
+  WithdrawQueuedAttempts(node, &record, moved);
   const std::size_t running = TransferRunningTasks(&record, &successor_record, &tasks);
   TransferConnections(&record, successor, moved);
   std::ranges::sort(tasks);  // hash tables have no defined order
   for (const TaskId id : tasks) {
     LogDebug("task %016llx: transferred from node %u to its address successor %u, %s",
              static_cast<unsigned long long>(id), node, successor,
-             successor_record.sent_attempts.contains(id)   ? "its attempt was written"
-             : successor_record.running_tasks.contains(id) ? "it is running"
-                                                           : "its attempt is queued");
+             successor_record.running_tasks.contains(id) ? "it is running" : "its attempt was written");
   }
   counters.tasks_moved_to_address_successor += tasks.size();
   if (!moved.empty() || !tasks.empty()) {
@@ -70,7 +74,7 @@
     // Fails the health checks of the removed node, which will not be answered any more.
     loop_->After(0, [this, node] { FailUnreachable(node); });
   }
-  events_->OnAddressSuccessor(node, successor, tasks);
+  events_->OnAddressSuccessor(node, successor, tasks, sends);
   EnsureConnection(successor, &successor_record);
 }
 
@@ -79,7 +83,7 @@
   std::vector<Handle> moved;
   for (const Handle handle : record.connections) {
     const NodeConnection* node_connection = connections_.Get(handle);
-    const Placement placement{node_connection->incarnation, node_connection->dialed_at};
+    const Placement placement{node_connection->incarnation, node_connection->established_at};
     // A connection that is still being dialed can only reach the successor.
     const bool moves =
         node_connection->IsDialing() || BelongsToSuccessor(record, successor_record, placement);
@@ -88,26 +92,34 @@
   return moved;
 }
 
-// Transfers the attempts that were sent on the connections `moved`. Returns their tasks, and the tasks whose
-// attempts are queued on these connections.
-std::vector<TaskId> NodeConnectionPool::TransferAttempts(NodeRecord* record, NodeRecord* successor_record,
-                                                         const std::vector<Handle>& moved) const {
+// Transfers the attempts that were written on the connections `moved`. Returns their tasks.
+std::vector<TaskId> NodeConnectionPool::TransferSentAttempts(NodeRecord* record, NodeRecord* successor_record,
+                                                             const std::vector<Handle>& moved) {
   std::vector<TaskId> tasks;
-  for (const Handle handle : moved) {
-    for (const QueuedAttempt& queued : connections_.Get(handle)->queued_attempts) tasks.push_back(queued.id);
-  }
   for (const auto& [id, sent] : record->sent_attempts) {
     if (std::ranges::find(moved, sent.connection) != moved.end()) tasks.push_back(id);
   }
   for (const TaskId id : tasks) {
-    const auto sent = record->sent_attempts.find(id);
-    if (sent == record->sent_attempts.end()) continue;
-    successor_record->sent_attempts[id] = sent->second;
+    successor_record->sent_attempts[id] = record->sent_attempts.at(id);
     record->sent_attempts.erase(id);
   }
   return tasks;
 }
 
+// The node of an attempt was chosen by its zone, its rack and its load, and the successor has others:
+// attempts that were not written yet end, and their requests are placed again.
+void NodeConnectionPool::WithdrawQueuedAttempts(NodeId node, NodeRecord* record,
+                                                const std::vector<Handle>& moved) {
+  for (const Handle handle : moved) {
+    for (QueuedAttempt& queued : std::exchange(connections_.Get(handle)->queued_attempts, {})) {
+      LogDebug("task %016llx: not written, node %u does not have its address any more",
+               static_cast<unsigned long long>(queued.id), node);
+      ++counters.attempts_withdrawn;
+      record->unreachable_attempts.push_back(std::move(queued));
+    }
+  }
+}
+
 // Transfers the running tasks that are in the successor's process. Adds them to `tasks` and returns their
 // number.
 std::size_t NodeConnectionPool::TransferRunningTasks(NodeRecord* record, NodeRecord* successor_record,
@@ -116,7 +128,7 @@
   for (const auto& [id, placement] : record->running_tasks) {
     if (!BelongsToSuccessor(*record, *successor_record, placement)) continue;
     tasks->push_back(id);
-    successor_record->running_tasks[id] = {successor_record->incarnations_ended, placement.dialed_at};
+    successor_record->running_tasks[id] = {successor_record->incarnations_ended, placement.established_at};
     if (const auto stop = record->stop_requests.extract(id); !stop.empty()) {
       successor_record->stop_requests[id] = stop.mapped();
     }
--- a/src/nodes/attempt_sending.cpp
+++ b/src/nodes/attempt_sending.cpp
@@ -57,13 +57,18 @@
 }
 
 void NodeConnectionPool::StartAttempt(NodeId node, TaskId id, AttemptId attempt,
-                                      const ForwardedPayload& payload, Time deadline) {
-  AssignConnection(node, {id, attempt, payload, deadline});
+                                      const ForwardedPayload& payload, Time deadline,
+                                      const RetryRestriction& restriction) {
+  AssignConnection(node, {id, attempt, payload, deadline, restriction});
 }
 
 // Sends an attempt on a connection, or queues it on one that is being dialed. Up to the limit per node each
 // request gets a connection of its own, so that one malformed reply or one reset ends few attempts.
 void NodeConnectionPool::AssignConnection(NodeId node, const QueuedAttempt& queued) {
+  if (queued.restriction.peer != 0) {
+    SendRestrictedAttempt(node, queued);
+    return;
+  }
   NodeRecord& record = nodes_[node];
   const std::size_t share = descriptors_.Reserved() / nodes_.size();
   const std::size_t max_connections = std::clamp<std::size_t>(share, 1, kMaxConnectionsPerNode);
@@ -93,7 +98,7 @@
 // client may have disconnected and the node may have begun to drain.
 void NodeConnectionPool::SendTaskRequest(NodeRecord* record, NodeConnection* node_connection,
                                          const QueuedAttempt& queued) {
-  switch (events_->CheckAttemptAllowed(queued.id, queued.attempt)) {
+  switch (events_->CheckAttemptAllowed(queued.id, queued.attempt, node_connection->peer)) {
     case AttemptPermission::kDenied:
       ++counters.attempts_not_sent;
       return;
@@ -104,6 +109,9 @@
       break;
   }
   ++counters.attempts_sent;
+  // Sends to a peer whose identity is confirmed are not counted, which saves the lookup.
+  if (loop_->now() - node_connection->established_at < failure_detection::PeerIdentities::kMaxListDelay)
+    peers_.RecordSend(node_connection->peer, loop_->now());
   LogWrite(*record, *node_connection, queued);
   record->sent_attempts[queued.id] = {queued.attempt, node_connection->transport->tag, loop_->iteration()};
   ++node_connection->unanswered_attempts;
@@ -123,11 +131,12 @@
   if (!IsDebugLogged()) return;
   LogDebug(
       "attempt %llu: task %016llx written to node %u at %s, connection %llu, dialed %lld ms ago, "
-      "incarnation %d, listed start %lld ms, loop iteration %llu",
+      "incarnation %d, %s, listed start %lld ms, loop iteration %llu",
       static_cast<unsigned long long>(queued.attempt), static_cast<unsigned long long>(queued.id),
       node_connection.node, AddressText(record.address).c_str(),
       static_cast<unsigned long long>(node_connection.transport->tag),
       static_cast<long long>((loop_->Now() - node_connection.dialed_at) / kMs), node_connection.incarnation,
+      peers_.IsConfirmed(node_connection.peer) ? "identity confirmed" : "identity presumed from the list",
       static_cast<long long>(record.started_at / kMs), static_cast<unsigned long long>(loop_->iteration()));
 }
 
@@ -150,6 +159,7 @@
     return deferred.node == node && is_for_task(deferred.queued);
   };
   if (std::ranges::any_of(deferred_attempts_, is_deferred)) return true;
+  if (std::ranges::any_of(unreachable_restricted_, is_deferred)) return true;
   const auto record = nodes_.find(node);
   if (record == nodes_.end()) return false;
   if (std::ranges::any_of(record->second.unreachable_attempts, is_for_task)) return true;
@@ -163,9 +173,11 @@
 std::size_t NodeConnectionPool::RemoveQueuedAttempts(NodeRecord* record, NodeId node, TaskId id) {
   const auto is_for_task = [id](const QueuedAttempt& queued) { return queued.id == id; };
   std::size_t unsent = std::erase_if(record->unreachable_attempts, is_for_task);
-  unsent += std::erase_if(deferred_attempts_, [&](const DeferredAttempt& deferred) {
+  const auto is_deferred = [&](const DeferredAttempt& deferred) {
     return deferred.node == node && is_for_task(deferred.queued);
-  });
+  };
+  unsent += std::erase_if(deferred_attempts_, is_deferred);
+  unsent += std::erase_if(unreachable_restricted_, is_deferred);
   for (const Handle handle : record->connections) {
     NodeConnection* node_connection = connections_.Get(handle);
     if (node_connection != nullptr) unsent += std::erase_if(node_connection->queued_attempts, is_for_task);
--- a/src/nodes/connection_closing.cpp
+++ b/src/nodes/connection_closing.cpp
@@ -65,7 +65,9 @@
     RemoveConnection(handle);
     return;
   }
-  std::erase(nodes_[node_connection->node].connections, handle);
+  NodeRecord& record = nodes_[node_connection->node];
+  ConfirmPeers(record);
+  std::erase(record.connections, handle);
   node_connection->Apply(ConnectionEvent::kClosedByThisSide);
   loop_->Cancel(node_connection->timer);
   node_connection->timer = loop_->After(kCloseTimeout, [this, handle] { RemoveConnection(handle); });
--- a/src/nodes/connection_lifecycle.cpp
+++ b/src/nodes/connection_lifecycle.cpp
@@ -82,7 +82,10 @@
 void NodeConnectionPool::RemoveConnection(Handle handle) {
   NodeConnection* node_connection = connections_.Get(handle);
   if (node_connection == nullptr) return;
-  std::erase(nodes_[node_connection->node].connections, handle);
+  NodeRecord& record = nodes_[node_connection->node];
+  ConfirmPeers(record);
+  std::erase(record.connections, handle);
+  peers_.Close(node_connection->peer, EventLoop::MonotonicNow());
   loop_->Cancel(node_connection->timer);
   loop_->DestroyLater(std::move(node_connection->transport));
   connections_.Erase(handle);
@@ -95,6 +98,9 @@
   NodeRecord& record = nodes_[node_connection->node];
   if (std::exchange(record.incarnation_may_have_ended, false)) ++record.incarnations_ended;
   node_connection->incarnation = record.incarnations_ended;
+  node_connection->established_at = loop_->Now();
+  node_connection->peer = peers_.Add(node_connection->node, node_connection->established_at,
+                                     node_connection->incarnation, EventLoop::MonotonicNow());
   if (node_connection->dialed_at >= record.connection_wanted_since) record.connection_wanted_since = 0;
   node_connection->Apply(ConnectionEvent::kEstablished);
   RecordTraffic(node_connection->node, &record, node_connection);
--- a/src/nodes/node_connection_pool.cpp
+++ b/src/nodes/node_connection_pool.cpp
@@ -91,6 +91,7 @@
     if (listed != last_listed_at_.end() && listed->second == it->first) last_listed_at_.erase(listed);
     it = nodes_.erase(it);
   }
+  peers_.ForgetClosed(EventLoop::MonotonicNow());
   loop_->After(kForgetInterval, [this] { ForgetRemovedNodes(); });
 }
 
@@ -105,7 +106,7 @@
   const NodeConnection* accepted_on = connections_.Get(reading_connection_);
   Placement placement;
   if (accepted_on != nullptr && accepted_on->node == node) {
-    placement = {accepted_on->incarnation, accepted_on->dialed_at};
+    placement = {accepted_on->incarnation, accepted_on->established_at};
   }
   record.running_tasks[id] = placement;
   EnsureConnection(node, &record);
--- a/src/nodes/node_connection_pool.h
+++ b/src/nodes/node_connection_pool.h
@@ -13,6 +13,7 @@
 //   message_handling.cpp       messages from nodes
 //   health_checks.cpp          health checks, suspect connections, nodes that are leaving
 //   address_successors.cpp     a removed node whose address was given to another node
+//   peer_choice.cpp            which processes a retry may be written to
 #pragma once
 
 #include <netinet/in.h>
@@ -30,6 +31,7 @@
 #include "containers/slot_table.h"
 #include "dispatch/ports.h"
 #include "failure_detection/failure_detector.h"
+#include "failure_detection/peer_identities.h"
 #include "net/connection.h"
 #include "nodes/connection_state.h"
 #include "nodes/descriptor_budget.h"
@@ -59,7 +61,8 @@
   }
   std::size_t node_count() const { return nodes_.size(); }  // node records
   std::size_t connection_count() const { return connections_.size(); }
-  std::size_t unanswered_attempt_count() const;  // sent and not answered, over all nodes
+  std::size_t unanswered_attempt_count() const;             // sent and not answered, over all nodes
+  std::size_t peer_count() const { return peers_.size(); }  // entries of PeerIdentities
   // Dials the node if a task runs there and no connection to it was dialed at or after `since`, and again
   // until one is established. A node reports a completion on a connection that it has, and repeats it on the
   // next one that is opened: this process hears of those that were lost with connections of another process.
@@ -70,8 +73,8 @@
 
   // NodePort; see there.
   void UpdateNode(const ListedNode& node) override;
-  void StartAttempt(NodeId node, TaskId id, AttemptId attempt, const ForwardedPayload& payload,
-                    Time deadline) override;
+  void StartAttempt(NodeId node, TaskId id, AttemptId attempt, const ForwardedPayload& payload, Time deadline,
+                    const RetryRestriction& restriction) override;
   bool IsQueued(NodeId node, TaskId id) const override;
   bool CancelAttempt(NodeId node, TaskId id) override;
   void StopTask(NodeId node, TaskId id) override;
@@ -81,6 +84,10 @@
   void CloseIdleConnections(NodeId node) override;
   void MarkOrphaned(NodeId node, TaskId id) override;
   Time GracePeriodEnd(NodeId node) override;
+  bool CanReach(NodeId node, const RetryRestriction& restriction) override;
+  std::optional<NodeId> ConfirmedNode(PeerId peer) override;
+  bool IsPeerUsableBy(PeerId peer, Time until) override;
+  void RecordListContact() override;
 
  private:
   struct QueuedAttempt {  // a task request that was not written yet
@@ -88,6 +95,7 @@
     AttemptId attempt;
     ForwardedPayload payload;
     Time deadline;  // when the dispatcher stops waiting for the reply
+    RetryRestriction restriction;
   };
   struct DeferredAttempt {  // CheckAttemptAllowed returned kRetryLater: the client's connection is read first
     NodeId node;
@@ -110,13 +118,15 @@
   // since another cluster manager placed the task.
   struct Placement {
     int incarnation = 0;
-    Time dialed_at = 0;  // of the connection on which the task was accepted
+    Time established_at = 0;  // the connection on which the task was accepted
   };
   struct NodeConnection {
     std::unique_ptr<Connection> transport;
     NodeId node = 0;
     ConnectionState state = ConnectionState::kDialing;
     Time dialed_at = 0;
+    Time established_at = 0;                     // 0 while dialing
+    PeerId peer = 0;                             // 0 while dialing
     Time last_received_at = 0;                   // 0 while dialing
     int incarnation = 0;                         // of the node's process, see NodeRecord::incarnations_ended
     Handle timer = 0;                            // of the dial, an incomplete message, or the close
@@ -204,6 +214,10 @@
                 const QueuedAttempt& queued) const;
   void DeferAttempt(NodeId node, const QueuedAttempt& queued);
   void ResumeDeferredAttempts();
+  void SendRestrictedAttempt(NodeId node, const QueuedAttempt& queued);
+  void FailRestrictedAttempts();
+  NodeConnection* BestAllowedConnection(const NodeRecord& record, const RetryRestriction& restriction);
+  void ConfirmPeers(const NodeRecord& record);
   void RerouteAttempts(NodeId node, NodeRecord* record, const std::vector<QueuedAttempt>& undelivered);
   std::size_t RemoveQueuedAttempts(NodeRecord* record, NodeId node, TaskId id);
   void FailUnreachable(NodeId node);
@@ -230,8 +244,9 @@
   void TransferToSuccessor(NodeId node, NodeId successor);
   std::vector<Handle> ConnectionsOfSuccessor(const NodeRecord& record,
                                              const NodeRecord& successor_record) const;
-  std::vector<TaskId> TransferAttempts(NodeRecord* record, NodeRecord* successor_record,
-                                       const std::vector<Handle>& moved) const;
+  static std::vector<TaskId> TransferSentAttempts(NodeRecord* record, NodeRecord* successor_record,
+                                                  const std::vector<Handle>& moved);
+  void WithdrawQueuedAttempts(NodeId node, NodeRecord* record, const std::vector<Handle>& moved);
   static std::size_t TransferRunningTasks(NodeRecord* record, NodeRecord* successor_record,
                                           std::vector<TaskId>* tasks);
   void TransferConnections(NodeRecord* record, NodeId successor, const std::vector<Handle>& moved);
@@ -248,9 +263,11 @@
   std::unordered_map<std::uint64_t, NodeId> last_listed_at_;  // by AddressKey
   Handle reading_connection_ = 0;                             // whose messages are being handled; 0: none
   std::vector<DeferredAttempt> deferred_attempts_;
-  bool closes_all_ = false;            // CloseAllGracefully was called
-  bool resume_scheduled_ = false;      // a call of ResumeDeferredAttempts is scheduled
-  std::vector<NodeId> leaving_nodes_;  // watched by CheckLeavingNodes
+  failure_detection::PeerIdentities peers_;
+  std::vector<DeferredAttempt> unreachable_restricted_;  // to be ended in the next loop iteration
+  bool closes_all_ = false;                              // CloseAllGracefully was called
+  bool resume_scheduled_ = false;                        // a call of ResumeDeferredAttempts is scheduled
+  std::vector<NodeId> leaving_nodes_;                    // watched by CheckLeavingNodes
 };
 
 }  // namespace cluster_manager
--- a/src/scheduling/cluster_view.cpp
+++ b/src/scheduling/cluster_view.cpp
@@ -17,6 +17,15 @@
   MarkChanged(node);
 }
 
+void ClusterView::MoveOwnChanges(Node* from, Node* to, RequestId request) {
+  for (const OwnChange& change : from->own_changes) {
+    if (change.id == request) to->own_changes.push_back(change);
+  }
+  RemoveOwnChanges(from, [request](const OwnChange& change) { return change.id == request; });
+  RecomputeUnlistedChange(to);
+  MarkChanged(to);
+}
+
 void ClusterView::RecomputeUnlistedChange(Node* node) const {
   const Time listed_before = list_updated_at_ - lag_.value();
   node->unlisted_change = {};
--- a/src/scheduling/cluster_view.h
+++ b/src/scheduling/cluster_view.h
@@ -54,6 +54,8 @@
     RecomputeUnlistedChange(node);
     MarkChanged(node);
   }
+  // Moves the own changes of a request from one node to another.
+  void MoveOwnChanges(Node* from, Node* to, RequestId request);
   // Adds (sign 1) or subtracts (-1) what the request's task requests and uses.
   void RecordUse(Node* node, const Request& request, double sign);
 
--- a/src/scheduling/context.h
+++ b/src/scheduling/context.h
@@ -20,7 +20,8 @@
   Time started_at = 0;        // time of the first event, taken as the start of this process
   Time shutdown_at = kNever;  // when this process ends
   ZonePolicy* zone_policy = nullptr;
-  std::vector<Action> actions;  // of the current event
+  NodeIdentities* node_identities = nullptr;  // null: attempts reach the nodes that they are sent to
+  std::vector<Action> actions;                // of the current event
   std::mt19937_64 random;
 
   // The index of the task's class; the last one for an index past the configured classes.
--- a/src/scheduling/node_filter.cpp
+++ b/src/scheduling/node_filter.cpp
@@ -14,14 +14,18 @@
   if (settings.required_node_kind >= 0 && settings.required_node_kind != node->entry.kind) return false;
   if (node->consecutive_failures > 0) return false;
   if (node->Rejects(request.task, context_.now)) return false;
-  if (std::ranges::find(request.failed_on, node->entry.node) != request.failed_on.end()) return false;
+  if (HasFailedOn(*node, request) && !retry_.ReachesFirstProcess(*node, request)) return false;
   return slow_start_.Allows(node) && spread_.Allows(*node, request.task) &&
          retry_.AllowsNode(*node, request) && capacity_.Fits(*node, request.task);
 }
 
+bool NodeFilter::HasFailedOn(const Node& node, const Request& request) {
+  return std::ranges::find(request.failed_on, node.entry.node) != request.failed_on.end();
+}
+
 bool NodeFilter::Prefers(const Node& node, const Request& request) const {
-  return node.degraded_until <= context_.now && capacity_.FitsWell(node, request.task) &&
-         !reserved_.NeedsReservedCapacity(node, request.task);
+  return !HasFailedOn(node, request) && node.degraded_until <= context_.now &&
+         capacity_.FitsWell(node, request.task) && !reserved_.NeedsReservedCapacity(node, request.task);
 }
 
 }  // namespace scheduling::internal
--- a/src/scheduling/node_filter.h
+++ b/src/scheduling/node_filter.h
@@ -32,6 +32,8 @@
   std::uint64_t examined() const { return examined_; }
 
  private:
+  static bool HasFailedOn(const Node& node, const Request& request);
+
   const Context& context_;
   const CapacityFilter& capacity_;
   const ReservedNodes& reserved_;
--- a/src/scheduling/request_lifecycle.cpp
+++ b/src/scheduling/request_lifecycle.cpp
@@ -20,6 +20,7 @@
 
 bool RequestLifecycle::CanAttempt(const Request& request) const {
   return !components_.retry.ForbidsRetry(request) && components_.retry.HasAttemptsLeft(request) &&
+         !components_.retry.IsFirstNodeLost(request) &&
          context_.now < components_.retry.AnswerDeadline(request) && !IsShed(request) &&
          !components_.retry.IsBoundToLostZone(request);
 }
@@ -216,6 +217,35 @@
     components_.outliers.RecordFailure(node);  // lost with the node
 }
 
+void RequestLifecycle::Handle(const NodeReplaced& event) {
+  Node* successor = components_.view.FindOrInsert(event.successor);
+  successor->entry.node = event.successor;
+  for (const RequestId id : event.requests) {
+    Request* request = components_.requests.Find(id);
+    if (request != nullptr && request->in_flight && request->node == event.node)
+      MoveToNode(successor, request);
+  }
+  std::vector<Time>& sends = successor->recent_sends;
+  sends.insert(sends.end(), event.sends.begin(), event.sends.end());
+  std::ranges::sort(sends);
+}
+
+// Moves what the request's attempt or running task counts for, at its node, in the spread of its service and
+// among the changes that the endpoint list does not show yet, to another node.
+void RequestLifecycle::MoveToNode(Node* node, Request* request) {
+  Node* previous = components_.view.Find(request->node);
+  const RequestId id = request->task.id;
+  components_.view.RecordUse(previous, *request, -1);
+  components_.view.RecordUse(node, *request, 1);
+  components_.view.MoveOwnChanges(previous, node, id);
+  previous->start_backlog -= request->start_cost;
+  node->start_backlog += request->start_cost;
+  --components_.services.FindOrInsert(request->task.service, previous->key).in_flight;
+  ++components_.services.FindOrInsert(request->task.service, node->key).in_flight;
+  request->node = node->key;
+  if (!request->may_have_run) request->first_node = node->key;
+}
+
 void RequestLifecycle::Handle(const RequestCancelled& event) {
   Request* request = components_.requests.Find(event.id);
   if (request == nullptr) return;
--- a/src/scheduling/request_lifecycle.h
+++ b/src/scheduling/request_lifecycle.h
@@ -49,6 +49,8 @@
   void Handle(const TaskClaimed& event);
   void Handle(const TaskAccepted& event);
   void Handle(const AttemptEnded& event);
+  // Accounts requests and sends to the node whose process they went to.
+  void Handle(const NodeReplaced& event);
   void Handle(const RequestCancelled& event);
   void Handle(const TaskReported& event);
   // Cancels attempts in a lost zone that can safely be repeated on any node.
@@ -74,6 +76,7 @@
   // further attempt is allowed. May erase the request.
   void Place(Request* request);
   void StartAttemptOn(Node* node, Request* request);
+  void MoveToNode(Node* node, Request* request);
   // Sends the final answer, rejection or failure, of a request that was not accepted; does nothing if the
   // request was answered already. May erase the request.
   void SendFinalAnswer(Request* request);
--- a/src/scheduling/retry_policy.cpp
+++ b/src/scheduling/retry_policy.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/retry_policy.h"
 
+#include <optional>
+
 #include "scheduling/parameters.h"
 #include "scheduling/spread_constraint.h"
 
@@ -33,7 +35,39 @@
   const ClassSettings& settings = context_.ClassSettingsFor(request.task);
   if (!request.may_have_run || settings.retry_safety == RetrySafety::kIdempotent) return true;
   if (ForbidsRetry(request)) return false;
-  return InSameDomain(settings.key_scope, view_.Find(request.first_node)->entry, node.entry);
+  if (!IsRestricted(request)) return true;
+  if (ReachesFirstProcess(node, request)) return true;
+  const Node* first = FirstNode(request);
+  if (first == nullptr || !InSameDomain(settings.key_scope, first->entry, node.entry)) return false;
+  NodeIdentities* identities = context_.node_identities;
+  return identities == nullptr || identities->ReachesConfirmedProcess(request.task.id, node.entry.node);
+}
+
+bool RetryPolicy::ReachesFirstProcess(const Node& node, const Request& request) const {
+  NodeIdentities* identities = context_.node_identities;
+  return identities != nullptr && IsRestricted(request) &&
+         identities->ReachesFirstProcess(request.task.id, node.entry.node);
+}
+
+bool RetryPolicy::IsFirstNodeLost(const Request& request) const {
+  NodeIdentities* identities = context_.node_identities;
+  if (identities == nullptr || !IsRestricted(request)) return false;
+  const Time key_expiry = request.first_sent_at + context_.ClassSettingsFor(request.task).key_ttl;
+  const Time until = std::min(AnswerDeadline(request), key_expiry);
+  return !identities->IsFirstProcessUsableBy(request.task.id, until);
+}
+
+const Node* RetryPolicy::FirstNode(const Request& request) const {
+  NodeIdentities* identities = context_.node_identities;
+  if (identities == nullptr) return view_.Find(request.first_node);
+  const std::optional<NodeId> node = identities->FirstNode(request.task.id);
+  return node ? view_.Find(*node) : nullptr;
+}
+
+bool RetryPolicy::IsRestricted(const Request& request) const {
+  const ClassSettings& settings = context_.ClassSettingsFor(request.task);
+  return request.may_have_run && settings.retry_safety == RetrySafety::kIdempotencyKey &&
+         settings.key_scope != FailureDomain::kCluster;
 }
 
 bool RetryPolicy::IsSafeOnAnyNode(const Task& task) const {
@@ -56,8 +90,8 @@
   if (!policy->RejectsZoneBoundRequests(request.task.class_index)) return false;
   const ClassSettings& settings = context_.ClassSettingsFor(request.task);
   return settings.retry_safety == RetrySafety::kIdempotencyKey &&
-         settings.key_scope != FailureDomain::kCluster &&
-         policy->IsLost(view_.Find(request.first_node)->entry.zone);
+         settings.key_scope != FailureDomain::kCluster && FirstNode(request) != nullptr &&
+         policy->IsLost(FirstNode(request)->entry.zone);
 }
 
 }  // namespace scheduling::internal
--- a/src/scheduling/retry_policy.h
+++ b/src/scheduling/retry_policy.h
@@ -31,6 +31,11 @@
   bool ForbidsRetry(const Request& request) const;
   // Whether the node may run the task. If the task may have run, only a node that discards the repeat may.
   bool AllowsNode(const Node& node, const Request& request) const;
+  // Whether the retry reaches the process that received the first attempt that may have run, which knows the
+  // key whichever node it is. Only for classes whose keys are known in a part of the fleet.
+  bool ReachesFirstProcess(const Node& node, const Request& request) const;
+  // Whether the node of the first attempt is unknown and stays so until no retry is possible any more.
+  bool IsFirstNodeLost(const Request& request) const;
   // Whether a retry is safe on any node, whichever node the first attempt went to.
   bool IsSafeOnAnyNode(const Task& task) const;
   // Whether the request may be answered as rejected: no task of it runs, or a further execution is safe.
@@ -39,6 +44,11 @@
   bool IsBoundToLostZone(const Request& request) const;
 
  private:
+  // The node of the first attempt that may have run. Null while it is unknown.
+  const Node* FirstNode(const Request& request) const;
+  // Whether the request may be sent again, but only in the domain of its first attempt.
+  bool IsRestricted(const Request& request) const;
+
   const Context& context_;
   const ClusterView& view_;
   double mean_acceptance_time_ = 0;  // nanoseconds; 0: none recorded
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -153,6 +153,10 @@
 
 void Scheduler::SetZonePolicy(ZonePolicy* policy) { state_->context.zone_policy = policy; }
 
+void Scheduler::SetNodeIdentities(NodeIdentities* identities) {
+  state_->context.node_identities = identities;
+}
+
 bool Scheduler::Tracks(RequestId id) const { return state_->requests.Find(id) != nullptr; }
 
 std::size_t Scheduler::tracked_entries() const {
