Count the attempts of a request that comes back after its client has left

Cause: a request was forgotten with its client. The rule is on the request, not on the connection: 'For side_effect: only send again [...] if every earlier attempt has an outcome proving it never ran', and of a key 'only to agents in the same group [...] and only within KeyTtl of its send'. The cancelled attempt may have run.

A request with such an id has its earlier attempts, the process of the first among them, so the scheduler's rules apply as to any retry: a class that must not be repeated is answered as failed at once, a key goes to its group within its time. An answered request that is sent again on another connection is read anew there, not up to the position of the old one. Counter requests_returned, sizes attempt_history and peers.

--- a/include/scheduling/events.h
+++ b/include/scheduling/events.h
@@ -95,9 +95,18 @@
   std::shared_ptr<const std::vector<NodeEntry>> entries;  // null if kind is kFailed
 };
 
-// A new request has arrived.
+// Attempts of a request that the scheduler does not track any more. At least one of them may have run.
+struct EarlierAttempts {
+  int count = 0;           // 0: none
+  NodeId first_node = 0;   // of the first attempt that may have run
+  Time first_sent_at = 0;  // its start
+};
+
+// A new request has arrived. `earlier`: its client has sent it before and has left in between; the attempts
+// are numbered on from `earlier.count`.
 struct TaskArrived {
   Task task;
+  EarlierAttempts earlier = {};
 };
 
 // Tracks a task that is already running on a node. It counts as attempt 0.
--- a/src/dispatch/actions.cpp
+++ b/src/dispatch/actions.cpp
@@ -35,10 +35,10 @@
   return "unknown";
 }
 
-// Whether a task may run after its attempt has ended so without having been accepted.
+// Whether a task may have run, or run still, after its attempt has ended so.
 bool MayHaveRun(Outcome outcome) {
-  return outcome == Outcome::kError || outcome == Outcome::kTimedOut || outcome == Outcome::kAborted ||
-         outcome == Outcome::kCancelled;
+  return outcome == Outcome::kOk || outcome == Outcome::kError || outcome == Outcome::kTimedOut ||
+         outcome == Outcome::kAborted || outcome == Outcome::kCancelled;
 }
 
 }  // namespace
@@ -178,7 +178,7 @@
              static_cast<unsigned long long>(request->attempt_id),
              static_cast<unsigned long long>(request->id), request->node, NameOf(outcome));
   }
-  if (request->first_peer == 0 && MayHaveRun(outcome)) request->first_peer = request->peer;
+  if (HasRunningTask(request->state) || MayHaveRun(outcome)) RecordFirstPeer(request);
   Transition(request, RequestEvent::kAttemptEnded);
   scheduling::AttemptEnded end;
   end.id = handle;
@@ -217,7 +217,21 @@
   EndAttempt(handle, request, outcome, reason, {});
 }
 
+void Dispatcher::RecordFirstPeer(Request* request) {
+  if (request->first_peer != 0) return;
+  request->first_peer = request->peer;
+  request->first_node = request->node;
+  request->first_sent_at = request->attempt_started_at;
+}
+
 void Dispatcher::EraseRequest(Handle handle, Request* request) {
+  const auto& settings = classes_.settings().classes[static_cast<std::size_t>(request->task.class_index)];
+  const bool repeats_may_harm = settings.retry_safety != scheduling::RetrySafety::kIdempotent;
+  if (repeats_may_harm && request->first_peer != 0) {
+    const scheduling::EarlierAttempts attempts{request->attempt_count, request->first_node,
+                                               request->first_sent_at};
+    attempt_history_.Add(request->id, {attempts, request->first_peer}, EventLoop::MonotonicNow());
+  }
   loop_->Cancel(request->timer);
   classes_.RemoveTask(request->task.class_index);
   handle_by_task_.erase(request->id);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -118,7 +118,7 @@
     ClaimRunningTask(handle, incoming);
   } else {
     ++unanswered_requests_;
-    HandleEvent(scheduling::TaskArrived{incoming.task});
+    HandleEvent(scheduling::TaskArrived{incoming.task, RestoreAttempts(requests_.Get(handle))});
   }
   return true;
 }
@@ -136,9 +136,21 @@
   // Resent by the client because its connection is closing: the answer goes to the latest connection.
   ++counters.requests_resent;
   request->client_connection = incoming.client_connection;
+  request->required_read_position = 0;  // it is a position of the connection before
   return true;
 }
 
+scheduling::EarlierAttempts Dispatcher::RestoreAttempts(Request* request) {
+  const auto recorded = attempt_history_.Find(request->id, EventLoop::MonotonicNow());
+  if (!recorded) return {};
+  ++counters.requests_returned;
+  request->attempt_count = recorded->attempts.count;
+  request->first_peer = recorded->first_peer;
+  request->first_node = recorded->attempts.first_node;
+  request->first_sent_at = recorded->attempts.first_sent_at;
+  return recorded->attempts;
+}
+
 Handle Dispatcher::InsertRequest(TaskRequest* incoming) {
   Request request;
   request.id = incoming->id;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -22,6 +22,7 @@
 #include "completion/unclaimed_completions.h"
 #include "containers/hash.h"
 #include "containers/slot_table.h"
+#include "dispatch/attempt_history.h"
 #include "dispatch/ports.h"
 #include "dispatch/request_state.h"
 #include "metrics/metrics.h"
@@ -68,6 +69,8 @@
   }
   // Completions reported by nodes for tasks that no client has claimed here.
   const UnclaimedCompletions& unclaimed_completions() const { return unclaimed_completions_; }
+  // Ended requests whose ids are remembered since they may have run.
+  std::size_t attempt_history_size() const { return attempt_history_.size(); }
   // Applies the suspension or resumption of a node by an operator.
   void OnSuspensionChanged(NodeId node);
 
@@ -128,6 +131,8 @@
     NodeId node = 0;                              // of the latest attempt
     PeerId peer = 0;                              // that the latest attempt was written to; 0: none
     PeerId first_peer = 0;                        // the first that may have run the task; 0: none
+    NodeId first_node = 0;                        // of the attempt at `first_peer`
+    Time first_sent_at = 0;                       // start of that attempt
     Time attempt_started_at = 0;                  // of the latest attempt; before the first: arrival time
     Handle timer = 0;                             // time-out of the open attempt or of the stop
     ClassCounters* counters = nullptr;            // of the request's class
@@ -167,6 +172,9 @@
 
   bool AcceptRepeatedRequest(Request* request, const TaskRequest& incoming);
   Handle InsertRequest(TaskRequest* incoming);
+  // For a request that its client has sent before: the attempts of then count as its own.
+  scheduling::EarlierAttempts RestoreAttempts(Request* request);
+  void RecordFirstPeer(Request* request);
   void ClaimRunningTask(Handle handle, const TaskRequest& incoming);
   // Makes this connection the recipient of the completion of a running task.
   void MoveToClientConnection(Request* request, Handle client_connection);
@@ -219,6 +227,7 @@
   std::size_t unanswered_requests_ = 0;
   AttemptId last_attempt_ = 0;
   UnclaimedCompletions unclaimed_completions_;
+  AttemptHistory attempt_history_;
   std::vector<scheduling::Event> queued_events_;
   bool handling_events_ = false;
 };
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -35,6 +35,7 @@
   X(tasks_claimed) \
   X(tasks_claimed_again) \
   X(requests_resent) \
+  X(requests_returned) \
   X(requests_invalid) \
   X(requests_refused_as_duplicate) \
   X(requests_over_limit) \
--- a/src/scheduling/request_lifecycle.cpp
+++ b/src/scheduling/request_lifecycle.cpp
@@ -138,6 +138,7 @@
   Request& request = *components_.requests.Insert(event.task.id, {});
   request.task = event.task;
   request.max_attempts = context_.settings.max_attempts;
+  ApplyEarlierAttempts(event.earlier, &request);
   components_.reserved.RecordTaskSize(request.task);
   components_.pending.AddDeadline(components_.retry.AnswerDeadline(request), event.task.id);
   ZonePolicy* policy = context_.zone_policy;
@@ -150,6 +151,15 @@
   components_.contention.RecordArrival();
 }
 
+// The effect of a second execution does not depend on the connection that a request came on.
+void RequestLifecycle::ApplyEarlierAttempts(const EarlierAttempts& earlier, Request* request) {
+  if (earlier.count == 0) return;
+  request->may_have_run = true;
+  request->attempts = earlier.count;
+  request->first_node = earlier.first_node;
+  request->first_sent_at = earlier.first_sent_at;
+}
+
 void RequestLifecycle::Handle(const TaskClaimed& event) {
   Request& request = *components_.requests.Insert(event.task.id, {});
   request.task = event.task;
--- a/src/scheduling/request_lifecycle.h
+++ b/src/scheduling/request_lifecycle.h
@@ -76,6 +76,7 @@
   // further attempt is allowed. May erase the request.
   void Place(Request* request);
   void StartAttemptOn(Node* node, Request* request);
+  static void ApplyEarlierAttempts(const EarlierAttempts& earlier, Request* request);
   void MoveToNode(Node* node, Request* request);
   // Sends the final answer, rejection or failure, of a request that was not accepted; does nothing if the
   // request was answered already. May erase the request.
--- a/src/server/server_process.cpp
+++ b/src/server/server_process.cpp
@@ -194,18 +194,21 @@
   std::fprintf(stderr, "counter bytes_written %llu\n",
                static_cast<unsigned long long>(protocol::bytes_written));
   if (counting_build != nullptr) counting_build(stderr);
-  const std::pair<const char*, std::size_t> sizes[] = {{"owed", dispatcher_.unanswered_request_count()},
-                                                       {"standing", dispatcher_.RunningTaskCount()},
-                                                       {"owners", frontend_.connection_count()},
-                                                       {"owed_ends", frontend_.queued_completions()},
-                                                       {"listed", dispatcher_.listed_node_count()},
-                                                       {"module", dispatcher_.scheduler_entry_count()},
-                                                       {"roster", endpoint_list_.size()},
-                                                       {"agents", node_pool_.node_count()},
-                                                       {"agent_lines", node_pool_.connection_count()},
-                                                       {"agent_open", node_pool_.unanswered_attempt_count()},
-                                                       {"blocks", SharedBlockPool().live()},
-                                                       {"deadlines", loop_.deadlines()}};
+  const std::pair<const char*, std::size_t> sizes[] = {
+      {"owed", dispatcher_.unanswered_request_count()},
+      {"standing", dispatcher_.RunningTaskCount()},
+      {"owners", frontend_.connection_count()},
+      {"owed_ends", frontend_.queued_completions()},
+      {"listed", dispatcher_.listed_node_count()},
+      {"module", dispatcher_.scheduler_entry_count()},
+      {"peers", node_pool_.peer_count()},
+      {"attempt_history", dispatcher_.attempt_history_size()},
+      {"roster", endpoint_list_.size()},
+      {"agents", node_pool_.node_count()},
+      {"agent_lines", node_pool_.connection_count()},
+      {"agent_open", node_pool_.unanswered_attempt_count()},
+      {"blocks", SharedBlockPool().live()},
+      {"deadlines", loop_.deadlines()}};
   for (const auto& [name, size] : sizes) std::fprintf(stderr, "size %s %zu\n", name, size);
   if (zone_failover_) {
     for (const std::string& line : zone_failover_->StatusLines(loop_.Now()))
