--- a/src/nodes/peer_choice.cpp
+++ b/src/nodes/peer_choice.cpp
@@ -49,9 +49,9 @@
   for (const Handle handle : record.connections) {
     NodeConnection* node_connection = connections_.Get(handle);
     const PeerId peer = node_connection->peer;
-    if (peer == 0 || node_connection->IsSuspect() || !IsUsable(*node_connection)) continue;
     const bool confirmed = restriction.allows_confirmed && peers_.IsConfirmed(peer);
-    if (peer != restriction.peer && !confirmed) continue;
+    if (peer == 0 || (peer != restriction.peer && !confirmed)) continue;
+    if (node_connection->IsSuspect() || !IsUsable(*node_connection)) continue;
     if (best == nullptr || node_connection->unanswered_attempts < best->unanswered_attempts)
       best = node_connection;
   }
