Retry at the same process only after it has answered the first attempt

The first attempt had timed out in a cut, its task ran and ended there, the retry went to the same connection after the cut, and the end of the first, kept back by the cut, was taken for that of the second.

Cause: the mend of the reused address let a retry return to the process of the first attempt after any outcome. Ids on the wire are those of tasks, so what a process still says of an attempt that went unanswered cannot be told from what it says of the next one. Only an answer, an error, ends an attempt on its connection.

Change: the process of the first attempt is a target only if it answered; a request that comes back after its client has left is not sent to the node of its first attempt either.

Evidence: 'a retry is not sent again to a process that has not answered the first attempt' fails with the program of the commit before and passes with this one.

--- a/bench/standin/nodes.cpp
+++ b/bench/standin/nodes.cpp
@@ -44,6 +44,7 @@
         records_(records),
         tried_(tried) {
     Open(0);
+    Reserve();
   }
 
   int port() const { return port_; }
@@ -93,6 +94,16 @@
     double cores = 0, memory = 0;
   };
 
+  // While nobody listens there, no other process is given the port: sockets with SO_REUSEADDR can share it as
+  // long as one of them listens.
+  void Reserve() const {
+    const int reservation = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    ::setsockopt(reservation, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    const sockaddr_in address = Loopback(port_);
+    if (::bind(reservation, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+      std::perror("nodes: the port cannot be reserved");
+  }
   void Open(int port) {
     char uid[16];
     std::snprintf(uid, sizeof uid, "s-%08x", number_ + 1 + 0x1000 * life_);
--- a/include/scheduling/scheduler.h
+++ b/include/scheduling/scheduler.h
@@ -50,6 +50,7 @@
   virtual std::optional<NodeId> FirstNode(RequestId request) = 0;
   // Whether an attempt of the request at the node can be sent to the process that received that first
   // attempt.
+  // False unless it has answered that attempt.
   virtual bool ReachesFirstProcess(RequestId request, NodeId node) = 0;
   // Whether an attempt at the node can be sent to a process that is known to be the node's.
   virtual bool ReachesConfirmedProcess(RequestId request, NodeId node) = 0;
--- a/src/dispatch/actions.cpp
+++ b/src/dispatch/actions.cpp
@@ -178,7 +178,7 @@
              static_cast<unsigned long long>(request->attempt_id),
              static_cast<unsigned long long>(request->id), request->node, NameOf(outcome));
   }
-  if (HasRunningTask(request->state) || MayHaveRun(outcome)) RecordFirstPeer(request);
+  if (HasRunningTask(request->state) || MayHaveRun(outcome)) RecordFirstPeer(request, outcome);
   Transition(request, RequestEvent::kAttemptEnded);
   scheduling::AttemptEnded end;
   end.id = handle;
@@ -217,11 +217,13 @@
   EndAttempt(handle, request, outcome, reason, {});
 }
 
-void Dispatcher::RecordFirstPeer(Request* request) {
-  if (request->first_peer != 0) return;
-  request->first_peer = request->peer;
-  request->first_node = request->node;
-  request->first_sent_at = request->attempt_started_at;
+void Dispatcher::RecordFirstPeer(Request* request, Outcome outcome) {
+  if (request->first_peer == 0) {
+    request->first_peer = request->peer;
+    request->first_node = request->node;
+    request->first_sent_at = request->attempt_started_at;
+  }
+  if (request->peer == request->first_peer) request->first_peer_answered = outcome == Outcome::kError;
 }
 
 void Dispatcher::EraseRequest(Handle handle, Request* request) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -133,6 +133,7 @@
     PeerId first_peer = 0;                        // the first that may have run the task; 0: none
     NodeId first_node = 0;                        // of the attempt at `first_peer`
     Time first_sent_at = 0;                       // start of that attempt
+    bool first_peer_answered = false;             // the latest attempt at `first_peer` was answered
     Time attempt_started_at = 0;                  // of the latest attempt; before the first: arrival time
     Handle timer = 0;                             // time-out of the open attempt or of the stop
     ClassCounters* counters = nullptr;            // of the request's class
@@ -174,7 +175,7 @@
   Handle InsertRequest(TaskRequest* incoming);
   // For a request that its client has sent before: the attempts of then count as its own.
   scheduling::EarlierAttempts RestoreAttempts(Request* request);
-  void RecordFirstPeer(Request* request);
+  void RecordFirstPeer(Request* request, scheduling::Outcome outcome);
   void ClaimRunningTask(Handle handle, const TaskRequest& incoming);
   // Makes this connection the recipient of the completion of a running task.
   void MoveToClientConnection(Request* request, Handle client_connection);
--- a/src/dispatch/node_events.cpp
+++ b/src/dispatch/node_events.cpp
@@ -126,9 +126,11 @@
   return found == nullptr ? std::nullopt : nodes_->ConfirmedNode(found->first_peer);
 }
 
+// Not after an attempt that went unanswered there: what the process still says of it could not be told from
+// what it says of the retry.
 bool Dispatcher::ReachesFirstProcess(scheduling::RequestId request, NodeId node) {
   const Request* found = requests_.Get(request);
-  return found != nullptr && found->first_peer != 0 && nodes_->CanReach(node, {found->first_peer, false});
+  return found != nullptr && found->first_peer_answered && nodes_->CanReach(node, {found->first_peer, false});
 }
 
 bool Dispatcher::ReachesConfirmedProcess(scheduling::RequestId request, NodeId node) {
--- a/src/scheduling/request_lifecycle.cpp
+++ b/src/scheduling/request_lifecycle.cpp
@@ -158,6 +158,7 @@
   request->attempts = earlier.count;
   request->first_node = earlier.first_node;
   request->first_sent_at = earlier.first_sent_at;
+  request->failed_on.push_back(earlier.first_node);
 }
 
 void RequestLifecycle::Handle(const TaskClaimed& event) {
--- a/tests/reused_address_retry_test.cpp
+++ b/tests/reused_address_retry_test.cpp
@@ -164,6 +164,18 @@
   CHECK(NextRequest(kTask, 3000).first != &old_address);
 }
 
+// What the process still says of the first attempt could not be told from what it says of the second.
+TEST_CASE_FIXTURE(ReusedAddress,
+                  "a retry is not sent again to a process that has not answered the first attempt") {
+  Start("zone", 5, 10);
+  Ask(&*client, kTask, "keyed", 5000);
+  const auto [port, wire] = NextRequest(kTask);
+  REQUIRE(port == &neighbor);
+  while (wire->Hear().type != Type::kRelease) continue;  // the attempt has timed out
+  wire->Say(Type::kProgress, kTask);                     // the connection is responsive
+  CHECK(NextRequest(kTask, 2500).second == nullptr);
+}
+
 // The attempt is answered after the list has named the process that received it.
 TEST_CASE_FIXTURE(ReusedAddress,
                   "a retry after an attempt that was moved to an address successor stays in its zone") {
