Reserve the ports of the stand-in nodes before they listen

Cause: a socket cannot be bound to a port on which another listens, so the reservation of the commit before failed for every node ('the port cannot be reserved'). The port is reserved first and the listener opened on it.

--- a/bench/standin/nodes.cpp
+++ b/bench/standin/nodes.cpp
@@ -43,8 +43,7 @@
         random_(random),
         records_(records),
         tried_(tried) {
-    Open(0);
-    Reserve();
+    Open(ReservePort());
   }
 
   int port() const { return port_; }
@@ -94,15 +93,17 @@
     double cores = 0, memory = 0;
   };
 
-  // While nobody listens there, no other process is given the port: sockets with SO_REUSEADDR can share it as
-  // long as one of them listens.
-  void Reserve() const {
+  // Returns a port that no other process is given while nobody listens there: sockets with SO_REUSEADDR can
+  // share it as long as one of them listens, and the kernel chooses it for nobody else.
+  static int ReservePort() {
     const int reservation = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
     ::setsockopt(reservation, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    const sockaddr_in address = Loopback(port_);
-    if (::bind(reservation, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
-      std::perror("nodes: the port cannot be reserved");
+    sockaddr_in address = Loopback(0);
+    socklen_t size = sizeof address;
+    if (::bind(reservation, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) return 0;
+    ::getsockname(reservation, reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
   }
   void Open(int port) {
     char uid[16];
