Review: an owner's end of a task is dropped during an upgrade

Cause: a release of a task that the new process does not know is ignored; the old one hands the task over later. The stand-in agent tells ends after a silence.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -2,7 +2,6 @@
 import asyncio
 import math
 import pathlib
-import signal
 import time
 
 import site2 as stand_ins
@@ -21,21 +20,6 @@
         rounds += 1
         await asyncio.sleep(max(0, begin + rounds / rate - site.now()))
 
-async def upgrade(site):
-    """`run` is started again; the old process gets SIGTERM at the yes of the new one, asked for every 0.1 s."""
-    old = site.processes[0]
-    site.start_program(admin=True)
-    for _ in range(60):
-        await asyncio.sleep(0.1)
-        try:
-            if await site.call("GET", "/v1/readyz") == 200:
-                break
-        except OSError:
-            continue
-    old.send_signal(signal.SIGTERM)
-    site.say("process 0: SIGTERM")
-
-
 async def case(site):
     fresh = site.agents.pop()
     for agent in site.agents:
@@ -54,7 +38,7 @@
     site.bulletin.put([fresh])
     await asyncio.sleep(1.2)
     if site.trouble:
-        await upgrade(site)
+        await site.upgrade()
     await asking
     times = [at for at, _, _ in fresh.asks]
     most = max((sum(1 for other in times if at <= other < at + WINDOW_S) for at in times), default=0)
--- a/review/site2/agent.py
+++ b/review/site2/agent.py
@@ -42,7 +42,7 @@
         self.site, self.hall, self.rack = site, hall, rack
         self.uid = f"s-{number:08x}"
         self.start_s, self.life_s, self.most_lines = start_s, life_s, most_lines
-        self.lines, self.tasks, self.untold = [], {}, []
+        self.lines, self.tasks, self.untold, self.ended_in_silence = [], {}, [], []
         self.draining = self.silent = False
         self.port, self.server = 0, None
         self.asks = []  # (time, task, class)
@@ -73,9 +73,10 @@
         self.lines.append(line)
         if self.silent:
             line.transport.pause_reading()
-        for task in self.untold:
-            line.say(wire.RELEASE, task, [(wire.CAUSE, wire.ENDED)])
-        self.untold.clear()
+        if not self.silent:
+            for task in self.untold:
+                line.say(wire.RELEASE, task, [(wire.CAUSE, wire.ENDED)])
+            self.untold.clear()
         if self.most_lines is not None and len(self.lines) >= self.most_lines and self.server is not None:
             self.site.say(f"agent {self.uid}: has the {self.most_lines} connections that it takes, refuses more")
             self.server.close()
@@ -101,6 +102,9 @@
                 line.transport.write(data)
             line.held_back.clear()
             line.transport.resume_reading()
+        for task in self.ended_in_silence:
+            self.tell_end(task)
+        self.ended_in_silence.clear()
 
     # -- messages ------------------------------------------------------------------------------------------
     def heard(self, line, kind, task, found):
@@ -133,6 +137,13 @@
         self.site.say(f"agent {self.uid}: {task.number:016x} has come to its end")
         self.tasks.pop(task.number, None)
         self.site.ends[task.number] = self.site.now()
+        if self.silent:
+            self.ended_in_silence.append(task)
+        else:
+            self.tell_end(task)
+
+    def tell_end(self, task):
+        """On the connection of its set-up, otherwise on any, and on the next one that is opened as well."""
         line = task.line if task.line.open else self.lines[0] if self.lines else None
         if line is not None:
             line.say(wire.RELEASE, task.number, [(wire.CAUSE, wire.ENDED)])
--- a/review/site2/owner.py
+++ b/review/site2/owner.py
@@ -21,6 +21,7 @@
         self.closed_at, self.last_traffic, self.last_setup = None, None, None
         self.tested, self.mine = asyncio.Queue(), {}
         self.closed_by_us = False
+        self.confirms = True  # "release heard" is free
 
     def connection_made(self, transport):
         self.transport, self.open = transport, True
@@ -67,7 +68,8 @@
             request.over_at, request.over_cause = self.site.now(), found.get(wire.CAUSE)
             self.site.say(f"owner {self.name}: told that {number:016x} is over, cause {request.over_cause}")
             self.site.on_over(request)
-            self.write(wire.message(wire.HEARD, number))
+            if self.confirms:
+                self.write(wire.message(wire.HEARD, number))
 
     def setup(self, kind, service, cores=0.5, memory=0.5, wait_ms=None, send=True):
         number, name = self.site.next_number(), self.site.next_number()
@@ -92,6 +94,10 @@
         self.write(data)
         return request
 
+    def end_task(self, request):
+        self.site.say(f"owner {self.name}: ends {request.number:016x}, which stands")
+        self.write(wire.message(wire.RELEASE, request.number, [(wire.CAUSE, wire.CANCELLED)]))
+
     async def ready(self):
         """Whether the cluster manager passes a test."""
         self.write(wire.message(wire.TEST, self.site.next_number(), [(wire.CAUSE, 0)]))
--- a/review/site2/site2.py
+++ b/review/site2/site2.py
@@ -217,9 +217,9 @@
         if self.listen_fd is not None:
             os.dup2(self.listen_fd, 7)
 
-    async def connect(self, name):
+    async def connect(self, name, port=None):
         loop = asyncio.get_running_loop()
-        _, owner = await loop.create_connection(lambda: Owner(self, name), "127.0.0.1", self.port)
+        _, owner = await loop.create_connection(lambda: Owner(self, name), "127.0.0.1", port or self.port)
         return owner
 
     async def until_ready(self, seconds=30):
@@ -238,6 +238,21 @@
             await asyncio.sleep(0.1)
         return False
 
+    async def upgrade(self):
+        """`run` is started again; the old process gets SIGTERM at the yes of the new one, asked for every 0.1 s."""
+        old = self.processes[-1]
+        self.start_program(admin=True)
+        for _ in range(60):
+            await asyncio.sleep(0.1)
+            try:
+                if await self.call("GET", "/v1/readyz") == 200:
+                    break
+            except OSError:
+                continue
+        old.send_signal(signal.SIGTERM)
+        self.say("the old process: SIGTERM")
+        return old
+
     async def call(self, method, path, port=None):
         """A call of an operator: the status."""
         reader, writer = await asyncio.open_connection("127.0.0.1", port or self.admin_port)
