--- a/review/site2/site2.py
+++ b/review/site2/site2.py
@@ -124,10 +124,10 @@
 
 
 class Site:
-    def __init__(self, folder, agents=3, group_size=3, trouble=True):
+    def __init__(self, folder, agents=3, group_size=3, sockets=1024, trouble=True):
         self.record = open(pathlib.Path(folder) / "record.txt", "w", buffering=1)
         self.began = time.monotonic()
-        self.trouble = trouble
+        self.trouble, self.sockets = trouble, sockets
         self.temporary = tempfile.TemporaryDirectory(prefix="willowrail-review-")
         self.requests, self.ends, self.cuts, self.started, self.over = {}, {}, [], [], []
         self.number = 0x10_0000_0000
@@ -172,7 +172,7 @@
             "name": "n0",
             "listen": f"127.0.0.1:{self.port}",
             "seed": f"8c1f30d27a5be96{number:x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "bulletin": f"127.0.0.1:{self.bulletin.port}",
             "known": self.bulletin.known(),
             "settings": self.settings,
