--- a/review/site2/site2.py
+++ b/review/site2/site2.py
@@ -238,20 +238,26 @@
             await asyncio.sleep(0.1)
         return False
 
-    async def upgrade(self):
-        """`run` is started again; the old process gets SIGTERM at the yes of the new one, asked for every 0.1 s."""
-        old = self.processes[-1]
+    def start_second(self):
+        """At an upgrade: `run` is started again while the process before serves. Returns that one."""
         self.start_program(admin=True)
+        return self.processes[-2]
+
+    async def is_ready_for_operators(self):
+        try:
+            return await self.call("GET", "/v1/readyz") == 200
+        except OSError:
+            return False
+
+    async def upgrade(self):
+        """The old process gets SIGTERM at the yes of the new one, asked for every 0.1 s."""
+        old = self.start_second()
         for _ in range(60):
             await asyncio.sleep(0.1)
-            try:
-                if await self.call("GET", "/v1/readyz") == 200:
-                    break
-            except OSError:
-                continue
+            if await self.is_ready_for_operators():
+                break
         old.send_signal(signal.SIGTERM)
         self.say("the old process: SIGTERM")
-        return old
 
     async def call(self, method, path, port=None):
         """A call of an operator: the status."""
