--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,71 +1,50 @@
-"""An upgrade while an agent comes up: the two processes together offer it too many starts."""
+"""A slow bulletin: it answers each call 1.8 s late. An agent vanishes, and the list says so three seconds later."""
 import asyncio
-import math
 import pathlib
-import signal
-import time
 
 import site2 as stand_ins
 
-WINDOW_S = 1.5  # Rules.Fall
-N = 25  # FamilyInfo.ColdSends: what the settings allow in that time
-LIMIT = N + 3 * math.sqrt(N) + 3  # the terms, for N under 30
-
-
-async def ask(site, seconds):
-    """Services ask for six tasks at once, each on a new connection: sixty tasks a second."""
-    begin, rounds = site.now(), 0
-    while site.now() - begin < seconds:
-        owner = await site.connect(f"{rounds}")
-        for _ in range(6):
-            owner.setup("web-api", 0x100 + rounds)
-        rounds += 1
-        await asyncio.sleep(max(0, begin + rounds / 10 - site.now()))
-
-
-async def upgrade(site, come_up):
-    """`run` is started again; the old process gets SIGTERM at the yes of the new one, asked for every 0.1 s."""
-    old = site.start_second()
-    for i in range(60):
-        await asyncio.sleep(0.1)
-        if await site.is_ready_for_operators():
-            break
-        if i == 2:
-            come_up()
-    old.send_signal(signal.SIGTERM)
-    site.say("the old process: SIGTERM")
+LATE_S = 1.8  # how late the bulletin answers a call
+NOTICE_S = 3.0  # how late the list tells that the agent is gone
+# The release is due 1 s after the news, which counts as told 4 s after the bulletin fell silent, and 8 s after the end.
+LIMIT_S = max(NOTICE_S + 4 + 1, 8) + 0.05
 
 
 async def case(site):
-    fresh = site.agents.pop()
+    if site.trouble:
+        site.bulletin.answer_after_s = LATE_S
     for agent in site.agents:
-        agent.free = (-62.9, -32.9)  # full: its tasks ask for 2.5 times its cores
-    site.bulletin.events.clear()
-    site.bulletin.put(site.agents, True)
-    site.hold_socket()
-    site.start_program(admin=True)
+        agent.life_s = 60.0
+    site.settings["Az"] = 1
+    site.start_program()
     if not await site.until_ready():
         return stand_ins.NOT_RUN
-    asking = asyncio.ensure_future(ask(site, 8))
-    await asyncio.sleep(2)
-
-    def come_up():
-        fresh.boot_ms = int(time.time() * 1000)
-        site.agents.append(fresh)
-        site.bulletin.put([fresh])
-
-    if site.trouble:
-        await upgrade(site, come_up)
-    else:
-        await asyncio.sleep(0.3)
-        come_up()
-    await asking
-    times = [at for at, _, _ in fresh.asks]
-    most = max((sum(1 for other in times if at <= other < at + WINDOW_S) for at in times), default=0)
-    site.say(f"offers to the fresh agent: {len(times)}, at most {most} in {WINDOW_S} s; it bears {LIMIT:g}")
-    if not times:
+    await asyncio.sleep(1)
+    owner = await site.connect("one")
+    tasks = []
+    for i in range(18):
+        kind = ("card-worker", "settlement", "web-api")[i % 3]
+        tasks.append(owner.setup(kind, 0x100 + i, cores=1, memory=2))
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(3)
+    gone = site.agents[0]
+    at_it = [request for request in tasks if request.agent == gone.uid and request.outcome == "stands"]
+    site.say(f"agent {gone.uid} vanishes, and with it {len(at_it)} tasks that stand")
+    if not at_it:
         return stand_ins.NOT_RUN
-    return stand_ins.BROKEN if most > LIMIT else stand_ins.HELD
-
-
-stand_ins.run_case(pathlib.Path(__file__).parent, case, agents=3, group_size=1)
+    gone.vanish()
+    ended = site.now()
+    await asyncio.sleep(NOTICE_S)
+    gone.state = "terminated"
+    site.bulletin.put([gone])
+    for i in range(50):  # the owner goes on asking
+        owner.setup("web-api", 0x200 + i % 10)
+        await asyncio.sleep(0.5)
+    late = [r for r in at_it if r.over_at is None or r.over_at - ended > LIMIT_S]
+    never = [r for r in at_it if r.over_at is None]
+    site.say(f"of {len(at_it)} tasks that ended with their agent {len(late)} were not told in {LIMIT_S:g} s,")
+    site.say(f"and {len(never)} were never told; calls of the bulletin: {site.bulletin.calls}")
+    return stand_ins.BROKEN if late else stand_ins.HELD
+
+
+stand_ins.run_case(pathlib.Path(__file__).parent, case)
--- a/review/site2/site2.py
+++ b/review/site2/site2.py
@@ -284,6 +284,7 @@
 def run_case(folder, case, **options):
     """Runs `case(site)`, an async function that returns HELD or BROKEN, and exits with its result."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # ends what was started
     site = Site(folder, trouble=trouble, **options)
 
     async def play():
@@ -293,8 +294,9 @@
     result = NOT_RUN
     try:
         result = asyncio.run(play())
-        if any(process.poll() not in (None, 0, -9) for process in site.processes):
-            site.say("a process of the program has crashed")
+        if any(process.poll() not in (None, 0) for process in site.processes):
+            site.say("a process of the program has ended by itself")
+            result = NOT_RUN
     except Exception as error:  # the case could not run
         site.say(f"could not run: {type(error).__name__}: {error}")
     finally:
