--- a/review/site2/agent.py
+++ b/review/site2/agent.py
@@ -195,7 +195,9 @@
         if not task.standing:
             self.give_up(task, "the cluster manager gave it up")
             return
-        self.site.say(f"agent {self.uid}: {number:016x} is cut on the cluster manager's word, cause {found[wire.CAUSE]}")
+        self.site.say(
+            f"agent {self.uid}: {number:016x} is cut on the cluster manager's word, cause {found[wire.CAUSE]}"
+        )
         self.site.cuts.append((self.site.now(), number))
         if task.timer is not None:
             task.timer.cancel()
