Keep the subscription that the known list leads to, so that a reload moves it

What callers saw: after a reload that moves discovery, drains and starts that only the new service tells were not known while the old stream stayed live.

Cause: PublishKnownList reported the known list, which makes the scheduler subscribe at once, and then set `subscribed_` to false again where the form of discovery is by subscription. Reconfigure therefore took the process for one that does not read the list, until the scheduler subscribed again: after a failure, or after 5 s without any change of the list.

--- a/src/discovery/endpoint_list_watcher.cpp
+++ b/src/discovery/endpoint_list_watcher.cpp
@@ -69,8 +69,9 @@
 void EndpointListWatcher::PublishKnownList(const json& known) {
   ApplyKnownEvents(known, EndpointList::GapPolicy::kAccept);
   ReportChange(EndpointListUpdate::kCached, endpoint_list_.FullList());
-  subscribed_ = always_subscribed_;
-  if (always_subscribed_) Connect();
+  if (!always_subscribed_) return;  // the report may have led to a Subscribe() already
+  subscribed_ = true;
+  Connect();
 }
 
 void EndpointListWatcher::Reconfigure(const sockaddr_in& address, const json& known) {
--- a/tests/discovery_reconfiguration_test.cpp
+++ b/tests/discovery_reconfiguration_test.cpp
@@ -41,6 +41,20 @@
   ExpectTaskAt(kTask, &second);
 }
 
+// Guards against staying on the old stream while it is live: the subscription made at the start was
+// forgotten, so that a reload before the next one did not lead to a call.
+TEST_CASE_FIXTURE(DiscoveryReconfigurationTest,
+                  "a reload soon after the start leaves an old discovery stream that is live") {
+  StartAndServeList();
+  Reload(new_discovery.endpoint());
+  bool dialed = false;
+  for (int i = 0; i < 15 && !dialed; ++i) {
+    stream->Raw(": here\n\n");
+    dialed = new_discovery.Dialled(200);
+  }
+  CHECK(dialed);
+}
+
 TEST_CASE_FIXTURE(DiscoveryReconfigurationTest,
                   "a partial event of the old discovery stream is not continued by the new one") {
   StartAndServeList();
