Hear discovery however late it answers: keep slow calls open and call beside them

Clients of a vanished node were not told that their tasks had ended (7 of 7, in 25 s), drains and new nodes were not known.

Cause: one limit, 1.5 s, stood for two things. It is the time that a live stream may be silent (discovery sends a comment every second), and it was also started by the dial, so that a call had to be answered within it. It neither grew nor kept the call: each next call ended just as the last one did. The 3 s for a whole message had the same shape: a list that takes longer was cut off and requested again from the same event on.

Excluded: a slow dial (the stand-in read each call at once), the scheduler's renewal after 5 s (it makes no call while one is open), an answer that came and was not applied (no call was open at 1.8 s).

Change: EndpointListStream is one call with its parser and limits. A call that is not answered in time, and a stream that falls silent, stays open; another call is made beside it after the same 1.5 s as before, later ones after 3 s, with jitter. At most three are open: the oldest, which a slow service answers first; a second one that is kept for 4, 8, 16 s and so on, in case the oldest was lost; the newest, for a service that has just recovered. The first stream that delivers an event or a second comment stays. The limit for a whole message doubles with each stream that meets it, until an event is read.

--- a/src/discovery/endpoint_list_watcher.cpp
+++ b/src/discovery/endpoint_list_watcher.cpp
@@ -14,26 +14,23 @@
 using nlohmann::json;
 using scheduling::EndpointListUpdate;
 
-// Discovery sends a comment every second, so a longer silence is a failure even where the connection stays
-// up. A longer time-out delays the news of drains, failures and starts of nodes; a false time-out costs one
-// connection.
-constexpr Time kSilenceTimeout = 1500 * kMs;
-// A stream may keep sending bytes without completing a comment or an event, such as half an event a byte at a
-// time: one has to be complete within this time. With kReconnectDelay it stays under the 4 s after which the
-// changes that a silent discovery service would have sent are assumed to be known.
-constexpr Time kStallTimeout = 3 * kSecond;
-// Within this time the loop reads what is already in the socket.
-constexpr Time kReadGracePeriod = 100 * kMs;
+// A call that has not been answered for this long is followed by another one; later calls wait up to
+// kMaxAnswerTimeout, and up to kAnswerTimeoutJitter longer, since all processes may call at once.
+constexpr Time kMinAnswerTimeout = 1500 * kMs;
+constexpr Time kMaxAnswerTimeout = 3 * kSecond;
+constexpr double kAnswerTimeoutJitter = 0.2;
+// With kReconnectDelay it stays under the 4 s after which the changes that a silent discovery service would
+// have sent are assumed to be known.
+constexpr Time kMinStallTimeout = 3 * kSecond;
+constexpr Time kMinPatience = 4 * kSecond;
+// The oldest call, which a slow service answers first; one that waits for `patience_`, in case the oldest was
+// lost; and the newest, which a service answers soon that has just recovered.
+constexpr std::size_t kMaxOpenCalls = 3;
 constexpr Time kReconnectDelay = 300 * kMs;
-constexpr std::size_t kMaxEventBytes = 4 * 1024 * 1024;  // of an event and the line being read
 // Events are requested again at most this often after an unusable one; in between such events are skipped.
 constexpr Time kMinRequestAgainInterval = kSecond;
 constexpr Time kMinWarningInterval = kSecond;
 
-constexpr EndpointListWatcher::Failure kSilent{&Counters::discovery_silent, "nothing received for 1.5 s"};
-constexpr EndpointListWatcher::Failure kStalled{&Counters::discovery_stalled,
-                                                "no complete event or comment within 3 s"};
-
 // Nothing where the text is not JSON or is nested too deeply.
 std::optional<json> Parse(const std::string& text) {
   if (ExceedsMaxDepth(text)) return std::nullopt;
@@ -46,24 +43,11 @@
 EndpointListWatcher::EndpointListWatcher(EventLoop* loop, const Config& config, DiscoveryEvents* events)
     : loop_(loop),
       address_(config.discovery),
-      host_(AddressText(config.discovery)),
       events_(events),
       endpoint_list_(config.zones, config.node_kinds),
-      always_subscribed_(!config.settings.discovery_by_subscription) {
-  http_parser_settings_init(&callbacks_);
-  callbacks_.on_headers_complete = [](http_parser* p) {
-    auto* watcher = static_cast<EndpointListWatcher*>(p->data);
-    if (p->status_code != 200) watcher->stream_error_ = "the HTTP status is not 200";
-    return 0;
-  };
-  callbacks_.on_body = [](http_parser* p, const char* at, std::size_t size) {
-    static_cast<EndpointListWatcher*>(p->data)->OnBody({at, size});
-    return 0;
-  };
-  callbacks_.on_message_complete = [](http_parser* p) {  // the connection may still be up
-    static_cast<EndpointListWatcher*>(p->data)->stream_error_ = "the stream has ended";
-    return 0;
-  };
+      always_subscribed_(!config.settings.discovery_by_subscription),
+      random_(config.seed) {
+  ResetTimeLimits();
 }
 
 void EndpointListWatcher::PublishKnownList(const json& known) {
@@ -71,20 +55,23 @@
   ReportChange(EndpointListUpdate::kCached, endpoint_list_.FullList());
   if (!always_subscribed_) return;  // the report may have led to a Subscribe() already
   subscribed_ = true;
-  Connect();
+  Call();
+}
+
+bool EndpointListWatcher::IsStreamLive() const {
+  return std::any_of(streams_.begin(), streams_.end(), [](const auto& stream) { return stream->IsLive(); });
 }
 
 void EndpointListWatcher::Reconfigure(const sockaddr_in& address, const json& known) {
   ApplyKnownEvents(known, EndpointList::GapPolicy::kReject);
-  const std::string host = AddressText(address);
-  if (host == host_) return;
+  if (AddressText(address) == AddressText(address_)) return;
   address_ = address;
-  host_ = host;
-  // Connects at once instead of waiting for the old stream to fail: the old service may fall silent or be out
+  // Calls at once instead of waiting for the old stream to fail: the old service may fall silent or be out
   // of reach, and only the new one may have the latest events. A pending Subscribe() is answered by it.
   if (!subscribed_) return;
-  loop_->DestroyLater(std::move(connection_));
-  Connect();
+  RemoveAllBut(nullptr);
+  ResetTimeLimits();
+  Call();
 }
 
 // Applies the events of a configuration. A gap ends this; the stream then delivers the events from there on.
@@ -109,153 +96,139 @@
 void EndpointListWatcher::Subscribe(bool active) {
   subscribed_ = active;
   if (!active) {
-    loop_->DestroyLater(std::move(connection_));
-    loop_->Cancel(std::exchange(silence_timer_, 0));
-    loop_->Cancel(std::exchange(reconnect_timer_, 0));
+    RemoveAllBut(nullptr);
+    loop_->Cancel(std::exchange(call_timer_, 0));
     subscribe_pending_ = false;
     return;
   }
   subscribe_pending_ = true;
-  if (connection_ == nullptr) {
-    Connect();
-  } else if (IsStreamLive() && loop_->Now() - last_activity_at_ < kSilenceTimeout / 2) {
-    ReportNoChangeIfPending();  // the stream is live: the reported list is current
-  }
+  if (streams_.empty()) return Call();
+  const Time now = loop_->Now();
+  const bool current = std::any_of(streams_.begin(), streams_.end(), [now](const auto& stream) {
+    return stream->IsLive() && now - stream->last_message_at() < EndpointListStream::kSilenceTimeout / 2;
+  });
+  if (current) ReportNoChangeIfPending();
 }
 
 void EndpointListWatcher::Fetch() {
-  const bool up = connection_ != nullptr && connection_->up();
+  const bool up =
+      std::any_of(streams_.begin(), streams_.end(), [](const auto& stream) { return stream->up(); });
   ReportChange(up ? EndpointListUpdate::kFull : EndpointListUpdate::kFailed,
                up ? endpoint_list_.FullList() : EndpointList::Change{});
 }
 
-void EndpointListWatcher::Connect() {
-  loop_->Cancel(std::exchange(reconnect_timer_, 0));
-  received_activity_ = request_again_ = false;
-  stream_error_ = nullptr;
-  partial_line_.clear();
-  event_data_.clear();
-  http_parser_init(&parser_, HTTP_RESPONSE);
-  parser_.data = this;
-  connection_ = std::make_unique<Connection>(loop_, address_, this);
-  last_activity_at_ = loop_->Now();
-  RestartSilenceTimer();
+// --- Calls and their time limits -------------------------------------------------------------------------
+void EndpointListWatcher::ResetTimeLimits() {
+  answer_timeout_ = kMinAnswerTimeout;
+  stall_timeout_ = kMinStallTimeout;
+  patience_ = kMinPatience;
 }
 
-// Not reported as a failure: the list that was reported is still valid, and the scheduler need not back off.
-void EndpointListWatcher::Reconnect() {
-  ++counters.discovery_retries;
-  loop_->DestroyLater(std::move(connection_));
-  Connect();
+Time EndpointListWatcher::NextAnswerTimeout() {
+  std::uniform_real_distribution<double> jitter(1, 1 + kAnswerTimeoutJitter);
+  return static_cast<Time>(static_cast<double>(answer_timeout_) * jitter(random_));
 }
 
-// Received bytes extend the time limit by kSilenceTimeout, but not beyond kStallTimeout after the last
-// comment or event.
-void EndpointListWatcher::RestartSilenceTimer() {
-  loop_->Cancel(silence_timer_);
-  const Time silent_at = loop_->Now() + kSilenceTimeout, stalled_at = last_activity_at_ + kStallTimeout;
-  const Failure failure = silent_at <= stalled_at ? kSilent : kStalled;
-  silence_timer_ =
-      loop_->At(std::min(silent_at, stalled_at), [this, failure] { DisconnectUnlessUnread(failure); });
+void EndpointListWatcher::Call() {
+  loop_->Cancel(std::exchange(call_timer_, 0));
+  RemoveSurplusCall();
+  const EndpointListStream::TimeLimits limits{NextAnswerTimeout(), stall_timeout_};
+  streams_.push_back(std::make_unique<EndpointListStream>(loop_, address_, &endpoint_list_, limits, this));
 }
 
-// Timers run before sockets are read, so after a pause of this process the time may be up although bytes have
-// arrived. They are read in this iteration of the loop, and RestartSilenceTimer() then sets a new limit.
-void EndpointListWatcher::DisconnectUnlessUnread(const Failure& failure) {
-  if (!connection_->HasUnreadBytes()) return DisconnectOnFailure(failure);
-  silence_timer_ = loop_->After(kReadGracePeriod, [this, failure] { DisconnectOnFailure(failure); });
+void EndpointListWatcher::CallAfter(Time delay) {
+  loop_->Cancel(call_timer_);
+  call_timer_ = loop_->After(delay, [this] {
+    call_timer_ = 0;
+    CallUnlessAwaitingMessage();
+  });
 }
 
-void EndpointListWatcher::DisconnectOnFailure(const Failure& failure) {
-  ++(counters.*failure.counter);
-  Disconnect(failure.text);
+void EndpointListWatcher::CallUnlessAwaitingMessage() {
+  if (subscribed_ && !IsAwaitingMessage()) Call();
 }
 
-void EndpointListWatcher::OnConnected(Connection& connection) {
-  ++counters.discovery_connects;
-  *connection.write_queue() += "GET /bulletins HTTP/1.1\r\nHost: " + host_ +
-                               "\r\nAccept: text/event-stream\r\nCache-Control: no-cache\r\nLast-Event-ID: " +
-                               std::to_string(endpoint_list_.last_event()) + "\r\n\r\n";
+// Whether a message may still come in time on one of the streams.
+bool EndpointListWatcher::IsAwaitingMessage() const {
+  return std::any_of(streams_.begin(), streams_.end(), [](const auto& stream) { return !stream->silent(); });
 }
 
-// Errors found by the callbacks are handled once the parser has returned.
-std::size_t EndpointListWatcher::OnData(Connection&, std::string_view data) {
-  const std::size_t parsed = http_parser_execute(&parser_, &callbacks_, data.data(), data.size());
-  if (connection_ == nullptr) return data.size();
-  if (request_again_) {
-    Reconnect();
-  } else if (stream_error_ != nullptr) {
-    Disconnect(stream_error_);
-  } else if (parsed != data.size() || HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
-    Disconnect("malformed HTTP response");
-  } else {
-    RestartSilenceTimer();
-  }
-  return data.size();
+// The oldest call is kept: a service that answers calls in turn answers it first, however slow it is. If that
+// call was lost, the second is kept for longer and longer, so that it outlasts any delay of the service.
+void EndpointListWatcher::RemoveSurplusCall() {
+  if (streams_.size() < kMaxOpenCalls) return;
+  const bool patience_over = loop_->Now() - streams_[1]->dialed_at() >= patience_;
+  if (patience_over) patience_ *= 2;
+  ++counters.discovery_disconnects;
+  Remove((patience_over ? streams_[1] : streams_.back()).get());
 }
 
-void EndpointListWatcher::OnClosed(Connection&, CloseReason) { Disconnect("closed"); }
+void EndpointListWatcher::Remove(EndpointListStream* stream) {
+  stream->Close();
+  const auto position = std::find_if(streams_.begin(), streams_.end(),
+                                     [stream](const auto& open) { return open.get() == stream; });
+  if (closed_.empty()) loop_->After(0, [this] { closed_.clear(); });
+  closed_.push_back(std::move(*position));
+  streams_.erase(position);
+}
 
-void EndpointListWatcher::Disconnect(const char* reason) {
-  ++counters.discovery_disconnects;
-  Log("discovery: %s", reason);
-  loop_->DestroyLater(std::move(connection_));
-  loop_->Cancel(std::exchange(silence_timer_, 0));
-  subscribe_pending_ = false;
-  if (always_subscribed_) {
-    reconnect_timer_ = loop_->After(kReconnectDelay, [this] { Connect(); });
-  } else {
-    ReportChange(EndpointListUpdate::kFailed, {});
+void EndpointListWatcher::RemoveAllBut(const EndpointListStream* kept) {
+  for (std::size_t i = streams_.size(); i-- > 0;) {
+    if (streams_[i].get() != kept) Remove(streams_[i].get());
   }
 }
 
-void EndpointListWatcher::OnBody(std::string_view bytes) {
-  while (!bytes.empty() && stream_error_ == nullptr && !request_again_ && connection_ != nullptr) {
-    const std::size_t end = bytes.find('\n');
-    const std::string_view fragment = bytes.substr(0, end);
-    if (partial_line_.size() + event_data_.size() + fragment.size() > kMaxEventBytes) {
-      ++counters.discovery_oversized;
-      stream_error_ = "an event is too large";
-      return;
-    }
-    if (end == std::string_view::npos) {
-      partial_line_ += fragment;
-      return;
-    }
-    std::string_view line = fragment;
-    if (!partial_line_.empty()) line = partial_line_ += line;
-    if (line.ends_with('\r')) line.remove_suffix(1);
-    OnLine(line);
-    partial_line_.clear();
-    bytes.remove_prefix(end + 1);
+void EndpointListWatcher::OnSilent(EndpointListStream&) {
+  ++counters.discovery_silent;
+  Log("discovery: no answer or a silent stream, calling again; %zu calls are open", streams_.size());
+  CallUnlessAwaitingMessage();
+  answer_timeout_ = std::min(2 * answer_timeout_, kMaxAnswerTimeout);
+}
+
+void EndpointListWatcher::OnEnded(EndpointListStream& stream, EndpointListStream::End end) {
+  using End = EndpointListStream::End;
+  Remove(&stream);
+  if (end == End::kNotApplicable) {  // no failure: the list that was reported is still valid
+    ++counters.discovery_retries;
+    RemoveAllBut(nullptr);
+    return Call();
   }
+  if (end == End::kStalled) ++counters.discovery_stalled;
+  if (end == End::kOversized) ++counters.discovery_oversized;
+  if (end == End::kStalled || end == End::kSilent)
+    stall_timeout_ = std::max(stall_timeout_, 2 * stream.stall_timeout());
+  ++counters.discovery_disconnects;
+  Log("discovery: %s", EndText(end));
+  if (IsAwaitingMessage()) return;
+  if (!streams_.empty()) return CallAfter(NextAnswerTimeout());  // one of them may still be answered
+  if (always_subscribed_) return CallAfter(kReconnectDelay);
+  subscribe_pending_ = false;
+  ReportChange(EndpointListUpdate::kFailed, {});
 }
 
-void EndpointListWatcher::OnLine(std::string_view line) {
-  if (line.empty()) {
-    if (!event_data_.empty()) OnEvent();
-    event_data_.clear();
-  } else if (line.starts_with(':')) {
-    RecordActivity();
-    ReportNoChangeIfPending();  // a comment: no event is missing
-  } else if (line.starts_with("data:")) {
-    line.remove_prefix(line.starts_with("data: ") ? 6 : 5);
-    if (!event_data_.empty()) event_data_ += '\n';
-    event_data_ += line;
-  }  // other fields are ignored: the data holds the event number as well
+// --- The endpoint list -----------------------------------------------------------------------------------
+void EndpointListWatcher::OnComment(EndpointListStream& stream) {
+  RecordActivity(&stream);
+  // A slow response may still be under way behind the first comments.
+  if (loop_->Now() - stream.dialed_at() >= stall_timeout_) ResetStallTimeout(&stream);
+  ReportNoChangeIfPending();  // no event is missing
 }
 
-void EndpointListWatcher::OnEvent() {
-  RecordActivity();
-  const std::optional<json> event = Parse(event_data_);
+EndpointListStream::Next EndpointListWatcher::OnEvent(EndpointListStream& stream, const std::string& text) {
+  using Next = EndpointListStream::Next;
+  RecordActivity(&stream);
+  ResetStallTimeout(&stream);
+  const std::optional<json> event = Parse(text);
   EndpointList::Change change;
   auto result = EndpointList::ApplyResult::kInvalid;
   if (event) result = endpoint_list_.Apply(*event, EndpointList::GapPolicy::kReject, &change);
-  if (result == EndpointList::ApplyResult::kStale) return;
+  if (result == EndpointList::ApplyResult::kStale) return Next::kReadOn;
   if (result != EndpointList::ApplyResult::kApplied) {
-    request_again_ = ShouldRequestAgain();
-    if (request_again_) return;
-    if (result == EndpointList::ApplyResult::kInvalid) return LogSkippedEvent(change);
+    if (ShouldRequestAgain()) return Next::kEnd;
+    if (result == EndpointList::ApplyResult::kInvalid) {
+      LogSkippedEvent(change);
+      return Next::kReadOn;
+    }
     ++counters.discovery_gaps;
     LogRateLimited("the events after " + std::to_string(endpoint_list_.last_event()) +
                    " are not available; continuing without them");
@@ -267,6 +240,7 @@
   if (!change.problems.empty()) LogSkippedEntries(endpoint_list_.last_event(), change);
   subscribe_pending_ = false;
   ReportChange(change.full ? EndpointListUpdate::kFull : EndpointListUpdate::kDelta, change);
+  return Next::kReadOn;
 }
 
 void EndpointListWatcher::LogSkippedEvent(const EndpointList::Change& change) {
@@ -302,10 +276,24 @@
   Log("discovery: %s", text.c_str());
 }
 
-void EndpointListWatcher::RecordActivity() {
-  received_activity_ = true;
-  last_activity_at_ = loop_->Now();
+// Any message shows that the list is up to date. The other calls stay open until the service has done more
+// than to greet: its response may be as slow on this stream as it is on them.
+void EndpointListWatcher::RecordActivity(EndpointListStream* stream) {
   events_->OnEndpointListContact();
+  if (!stream->IsEstablished()) return;
+  if (streams_.size() > 1) {
+    Log("discovery: heard on the call of %.1f s ago, closing %zu others",
+        static_cast<double>(loop_->Now() - stream->dialed_at()) / kSecond, streams_.size() - 1);
+  }
+  RemoveAllBut(stream);
+  loop_->Cancel(std::exchange(call_timer_, 0));
+  answer_timeout_ = kMinAnswerTimeout;
+  patience_ = kMinPatience;
+}
+
+void EndpointListWatcher::ResetStallTimeout(EndpointListStream* stream) {
+  stall_timeout_ = kMinStallTimeout;
+  stream->SetStallTimeout(kMinStallTimeout);
 }
 
 void EndpointListWatcher::ReportNoChangeIfPending() {
--- a/src/discovery/endpoint_list_watcher.h
+++ b/src/discovery/endpoint_list_watcher.h
@@ -1,32 +1,31 @@
-// Reads the endpoint list from the discovery service: a stream of server-sent events over HTTP/1.1. Applies
-// them to an EndpointList and reports each change to the dispatcher (DiscoveryEvents). A stream that is
-// silent, stalled or invalid is closed and requested again from the last applied event on.
+// Reads the endpoint list from the discovery service. Applies the events to an EndpointList and reports each
+// change to the dispatcher (DiscoveryEvents).
+//
+// A call that is not answered in time is not closed, since a slow service may still answer it; another call
+// is made beside it, and the first stream that is established replaces the others. So a service is heard
+// however late it answers, while a call that was lost is followed by another one soon. A stream that makes no
+// progress is closed and requested again from the last applied event on, with a longer time limit.
 //
 // Owned by ServerProcess, one in a process. Everything runs on the event loop's thread.
 #pragma once
 
-#include <http_parser.h>
-
+#include <cstddef>
 #include <memory>
+#include <random>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "config/config.h"
 #include "discovery/endpoint_list.h"
+#include "discovery/endpoint_list_stream.h"
 #include "dispatch/ports.h"
-#include "net/connection.h"
-#include "net/counters.h"
+#include "net/loop.h"
 
 namespace cluster_manager {
 
-class EndpointListWatcher final : public DiscoveryPort, public Connection::Handler {
+class EndpointListWatcher final : public DiscoveryPort, public EndpointListStream::Handler {
  public:
-  // Why a stream was closed: the counter to increment and the text of the log line.
-  struct Failure {
-    std::uint64_t Counters::*counter;
-    const char* text;
-  };
-
   // `loop` and `events` must outlive this object. No I/O.
   EndpointListWatcher(EventLoop* loop, const Config& config, DiscoveryEvents* events);
 
@@ -39,32 +38,36 @@
 
   std::size_t size() const { return endpoint_list_.size(); }
   bool Contains(std::string_view uid) const { return endpoint_list_.Contains(uid); }
-  // True while the stream is up and a comment or event has been received on it.
-  bool IsStreamLive() const { return received_activity_ && connection_ != nullptr && connection_->up(); }
+  // True while a stream is up, a comment or event has been received on it, and it is not silent.
+  bool IsStreamLive() const;
 
   // DiscoveryPort; called by the dispatcher.
   void Subscribe(bool active) override;
   void Fetch() override;
 
  private:
-  // Connection::Handler; see there.
-  void OnConnected(Connection& connection) override;
-  std::size_t OnData(Connection& connection, std::string_view data) override;
-  void OnClosed(Connection& connection, CloseReason reason) override;
+  using Streams = std::vector<std::unique_ptr<EndpointListStream>>;
+
+  // EndpointListStream::Handler; see there.
+  void OnComment(EndpointListStream& stream) override;
+  EndpointListStream::Next OnEvent(EndpointListStream& stream, const std::string& text) override;
+  void OnSilent(EndpointListStream& stream) override;
+  void OnEnded(EndpointListStream& stream, EndpointListStream::End end) override;
 
-  // The connection and its time limits.
-  void Connect();
-  void Reconnect();
-  void RestartSilenceTimer();
-  void DisconnectUnlessUnread(const Failure& failure);
-  void DisconnectOnFailure(const Failure& failure);
-  void Disconnect(const char* reason);
-  // The stream and the endpoint list.
-  void OnBody(std::string_view bytes);
-  void OnLine(std::string_view line);
-  void OnEvent();
+  // Calls and their time limits.
+  void Call();
+  void CallAfter(Time delay);
+  void CallUnlessAwaitingMessage();
+  void RemoveSurplusCall();
+  Time NextAnswerTimeout();
+  bool IsAwaitingMessage() const;
+  void Remove(EndpointListStream* stream);
+  void RemoveAllBut(const EndpointListStream* kept);
+  void ResetTimeLimits();
+  // The endpoint list.
   void ApplyKnownEvents(const nlohmann::json& known, EndpointList::GapPolicy gap_policy);
-  void RecordActivity();
+  void RecordActivity(EndpointListStream* stream);
+  void ResetStallTimeout(EndpointListStream* stream);
   void ReportNoChangeIfPending();
   bool ShouldRequestAgain();
   void LogSkippedEvent(const EndpointList::Change& change);
@@ -74,7 +77,6 @@
 
   EventLoop* loop_;
   sockaddr_in address_;
-  std::string host_;
   DiscoveryEvents* events_;
   EndpointList endpoint_list_;
   const bool always_subscribed_;    // reads the list without Subscribe(), and does not report failures
@@ -84,18 +86,15 @@
   std::int64_t requested_again_after_ = -1;  // the last applied event at that time
   Time last_warning_at_ = 0;
 
-  // State of the current connection; Connect() resets all of it, so that nothing of an old stream remains.
-  std::unique_ptr<Connection> connection_;
-  http_parser parser_{};
-  bool received_activity_ = false;         // a comment or an event has been received
-  const char* stream_error_ = nullptr;     // why the stream cannot be read on
-  bool request_again_ = false;             // the events after the last applied one are to be requested again
-  std::string partial_line_, event_data_;  // they outlive the buffer they were received in
-  Time last_activity_at_ = 0;              // when a comment or event was last received
-  Handle silence_timer_ = 0;
+  Streams streams_;  // the open ones, the oldest call first
+  Streams closed_;   // to be destroyed once none of their functions is running
+  Handle call_timer_ = 0;
+  std::mt19937_64 random_;
 
-  http_parser_settings callbacks_{};
-  Handle reconnect_timer_ = 0;
+  // Time limits of the next calls; each grows until a service that is slower than the limit is heard.
+  Time answer_timeout_ = 0;
+  Time stall_timeout_ = 0;
+  Time patience_ = 0;  // how long a call stays open beside an older and a newer one
 };
 
 }  // namespace cluster_manager
