Wait for discovery's list for 4 s at the start, since an upgrade rests on it

At an upgrade the new process says that it is ready 1.5 s after its start even where no list has come; the old one, which has a later list, then stops. With discovery that answers after 1.5 s, drains and starts told since the configuration was written are not known at the yes.

Readiness at an upgrade is due within 6 s; where discovery is down, a process without a listed node, or one that takes over, is ready 2.5 s later than before.

--- a/src/server/server_process.cpp
+++ b/src/server/server_process.cpp
@@ -21,8 +21,8 @@
 namespace {
 
 // How long a process waits for an endpoint list. It then serves without one, since there may be no other
-// process to serve its clients while discovery is unreachable.
-constexpr Time kEndpointListTimeout = 1500 * kMs;
+// process to serve its clients while discovery is unreachable. At an upgrade readiness is due within 6 s.
+constexpr Time kEndpointListTimeout = 4 * kSecond;
 constexpr Time kReadinessCheckInterval = 5 * kMs;
 
 // Seeds the hash functions; called before the first hash table is filled.
--- a/tests/crossing_startup_test.cpp
+++ b/tests/crossing_startup_test.cpp
@@ -174,5 +174,29 @@
   CHECK(Get(lives.back()->admin_port(), "/v1/readyz").yes());
 }
 
+// Guards against a yes that rests on the list of the configuration while discovery is slow: the old process
+// stops at the yes, and drains and starts of nodes that only discovery has told are not known to the new one.
+TEST_CASE_FIXTURE(Operated,
+                  "a process that takes over waits for a list that discovery sends late, but not for ever") {
+  Start();
+  const auto started_at = std::chrono::steady_clock::now();
+  lives.push_back(std::make_unique<Program>(Nodes(), bulletin, Settings(), 0, 0,
+                                            Platform{owners.socket(), tmp.string(), true}));
+  const int admin_port = lives.back()->admin_port();
+  Wire call = bulletin.Accept();
+  call.Bytes();
+  SUBCASE("the list comes after 3 s") {
+    std::this_thread::sleep_until(started_at + std::chrono::seconds(3));
+    CHECK_FALSE(Get(admin_port, "/v1/readyz").yes());
+    call.Raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n");
+    Until(admin_port, "/v1/readyz", true);
+    CHECK(std::chrono::steady_clock::now() - started_at < std::chrono::milliseconds(3500));
+  }
+  SUBCASE("no list comes") {
+    std::this_thread::sleep_until(started_at + std::chrono::milliseconds(5500));
+    CHECK(Get(admin_port, "/v1/readyz").yes());
+  }
+}
+
 }  // namespace
 }  // namespace cluster_manager::story
