Keep a client connection while an answer is due on it, whatever else it sends

What callers saw: a client that sends a request in pieces over more than 1.5 s lost its connection, and with it the answers to its open requests; sent the same way again, the request ended the same way.

Cause: the limit on an unfinished message, 1.5 s, ran from its first byte, also while bytes went on coming, and closed connections on which answers were due.

Change: the limit runs from the last byte, and not while an answer is due or unwritten. A client without any valid request is still closed within 3 s.

--- a/src/clients/client_connection.cpp
+++ b/src/clients/client_connection.cpp
@@ -9,7 +9,7 @@
 // lower by the interval at which ClientFrontend checks them.
 constexpr Time kFirstMessageTimeout = 2 * kSecond;      // until the first valid request
 constexpr Time kFirstMessageTimeoutMax = 2500 * kMs;    // if a message has begun
-constexpr Time kUnfinishedMessageTimeout = 1500 * kMs;  // from the first byte of any message
+constexpr Time kUnfinishedMessageTimeout = 1500 * kMs;  // from the last byte, in the middle of a message
 constexpr Time kIdleTimeout = 6 * kSecond;              // clients close unused connections after 4 s
 constexpr Time kFirstMessageGrace = 100 * kMs;          // the first message of a new client may be in flight
 // After closing this side, for the client to read the last bytes written.
@@ -54,11 +54,12 @@
 
 bool ClientConnection::HasTimedOut(Time now) const {
   const Time connected = now - connected_at;
-  const Time unfinished_since = transport->incomplete_message_since;
-  const bool in_message = unfinished_since > 0;
+  const bool in_message = transport->incomplete_message_since > 0;
   // If the client reads slowly, this process stops reading from it. The rest of the message may then be
-  // waiting in the receive buffer.
-  if (in_message && transport->flushed() && now - unfinished_since >= kUnfinishedMessageTimeout) return true;
+  // waiting in the receive buffer. While answers are due the connection stays open, whatever the client
+  // sends.
+  const bool answers_due = !unanswered_requests.empty() || !transport->flushed();
+  if (in_message && !answers_due && now - transport->last_traffic >= kUnfinishedMessageTimeout) return true;
   const bool message_in_time = in_message && connected < kFirstMessageTimeoutMax;
   if (!HasSentValidRequest() && connected >= kFirstMessageTimeout && !message_in_time) return true;
   const bool unused = unanswered_requests.empty() && running_tasks == 0;
--- a/tests/story_owners_test.cpp
+++ b/tests/story_owners_test.cpp
@@ -111,6 +111,40 @@
   CHECK(owner.Hear(Type::kTaskAccepted, kTask).description == "there");
 }
 
+// Guards against closing a connection on which an answer is due, because another message on it is unfinished.
+TEST_CASE_FIXTURE(Site, "a request is answered while a later message on its connection arrives slowly") {
+  Start();
+  Wire owner = program->Owner();
+  Ask(&owner, kTask, "unsafe");
+  Wire agent = first.Accept();
+  agent.Hear(Type::kTaskRequest, kTask);
+  std::string later;
+  {
+    protocol::Writer writer(&later, Type::kTaskRequest, kOther);
+    writer.Add(Code::kClass, "safe").Add(Code::kTimeoutMs, "25000").Add(Code::kTenant, "shop one");
+    writer.Add(Code::kName, "0b5e").Add(Code::kResources, "cores:1;memory:2;service:0b");
+    writer.Add(Code::kDescription, "run");
+  }
+  SUBCASE("in pieces") {
+    constexpr std::size_t kPieces = 10;
+    const std::size_t size = later.size() / kPieces + 1;
+    for (std::size_t at = 0; at < later.size(); at += size) {
+      owner.Raw(std::string_view(later).substr(at, size));
+      std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    }
+    program->Counted("requests_received", 2);
+    agent.Answer(kTask, "there");
+    owner.Hear(Type::kTaskAccepted, kTask);
+  }
+  SUBCASE("and then no further") {
+    owner.Raw(std::string_view(later).substr(0, later.size() / 2));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    agent.Answer(kTask, "there");
+    owner.Hear(Type::kTaskAccepted, kTask);
+    CHECK(owner.Closed());
+  }
+}
+
 TEST_CASE_FIXTURE(Site, "an answer just written survives the close for what came behind it") {
   Start();
   Wire bad = program->Owner();
