Let the limit on a node's unfinished message grow until a slow node is heard

A node whose answers arrive in pieces over more than 0.4 s lost its connection with each of them, so that every task sent to it failed.

Cause: the limit on an unfinished message, 0.4 s from its first byte, was the same on each connection, so that the next answer ended as the last one did.

Change: the limit belongs to the node. It doubles with each close, up to 6.4 s, and a message that comes whole sets it to twice what that message took, 0.4 s at least. A node that stops in the middle of a message for the first time is given up as before.

--- a/src/nodes/message_handling.cpp
+++ b/src/nodes/message_handling.cpp
@@ -16,8 +16,14 @@
 using protocol::Type;
 using scheduling::Outcome;
 
-// Time limit for the rest of a message whose first bytes have arrived. A working node sends it at once.
-constexpr Time kUnfinishedMessageTimeout = 400 * kMs;
+// Time limit for the rest of a message whose first bytes have arrived. Most nodes send it at once; for a node
+// that does not, the limit doubles up to kMaxUnfinishedMessageTimeout.
+constexpr Time kMinUnfinishedMessageTimeout = 400 * kMs;
+constexpr Time kMaxUnfinishedMessageTimeout = 16 * kMinUnfinishedMessageTimeout;
+
+Time UnfinishedMessageTimeout(Time wanted) {
+  return std::clamp(wanted, kMinUnfinishedMessageTimeout, kMaxUnfinishedMessageTimeout);
+}
 
 }  // namespace
 
@@ -28,6 +34,7 @@
   const NodeId node = node_connection->node;
   RecordTraffic(node, &nodes_[node], node_connection);
   node_connection->Apply(ConnectionEvent::kDataReceived);
+  const Time unfinished_since = connection.incomplete_message_since;
   bool malformed = false;
   bool unexpected = false;
   reading_connection_ = handle;
@@ -44,14 +51,21 @@
     OnClosed(connection, CloseReason::kReset);
     return consumed;
   }
+  if (consumed > 0 && unfinished_since > 0) RecordMessageDuration(node, loop_->Now() - unfinished_since);
   node_connection = connections_.Get(handle);
   if (consumed < data.size() && node_connection != nullptr && node_connection->timer == 0) {
-    node_connection->timer =
-        loop_->After(kUnfinishedMessageTimeout, [this, handle] { CheckUnfinishedMessage(handle); });
+    const Time timeout = UnfinishedMessageTimeout(nodes_[node].unfinished_message_timeout);
+    node_connection->timer = loop_->After(timeout, [this, handle] { CheckUnfinishedMessage(handle); });
   }
   return consumed;
 }
 
+void NodeConnectionPool::RecordMessageDuration(NodeId node, Time duration) {
+  const auto record = nodes_.find(node);
+  if (record == nodes_.end()) return;
+  record->second.unfinished_message_timeout = UnfinishedMessageTimeout(2 * duration);
+}
+
 // Closes a connection on which a message has been incomplete for too long. Any further bytes would be read as
 // part of that message, so that every attempt on the connection would wait until its deadline.
 void NodeConnectionPool::CheckUnfinishedMessage(Handle handle) {
@@ -61,11 +75,14 @@
   Connection& connection = *node_connection->transport;
   const Time since = connection.incomplete_message_since;
   if (since == 0) return;
-  if (loop_->Now() - since < kUnfinishedMessageTimeout) {
-    node_connection->timer =
-        loop_->At(since + kUnfinishedMessageTimeout, [this, handle] { CheckUnfinishedMessage(handle); });
+  NodeRecord& record = nodes_[node_connection->node];
+  const Time timeout = UnfinishedMessageTimeout(record.unfinished_message_timeout);
+  if (loop_->Now() - since < timeout) {
+    node_connection->timer = loop_->At(since + timeout, [this, handle] { CheckUnfinishedMessage(handle); });
     return;
   }
+  // A node that is always this slow is heard on a later connection.
+  record.unfinished_message_timeout = UnfinishedMessageTimeout(2 * timeout);
   ++counters.unfinished;
   Log("node %u: message incomplete after the time limit, closing the connection", node_connection->node);
   connection.Close();
--- a/src/nodes/node_connection_pool.h
+++ b/src/nodes/node_connection_pool.h
@@ -158,6 +158,7 @@
     std::unordered_map<TaskId, Handle> stop_requests;
     std::vector<HealthCheck> health_checks;
     failure_detection::FailureDetector failure_detector;
+    Time unfinished_message_timeout = 0;  // how long its messages may take; 0: the shortest limit
     // Reported as ended while the node was silent; to be stopped once a message arrives from it.
     std::vector<TaskId> orphaned_tasks;
   };
@@ -179,6 +180,7 @@
   // the task is unanswered. False for a duplicate of a message that ended an earlier attempt, to be ignored.
   bool MatchSentAttempt(NodeRecord* record, Handle handle, const protocol::Message& message,
                         std::optional<AttemptId>* attempt);
+  void RecordMessageDuration(NodeId node, Time duration);
   void CheckUnfinishedMessage(Handle handle);
   void RecordTraffic(NodeId node, NodeRecord* record, NodeConnection* node_connection);
 
