Draw slow discovery in the fault rigs: late answers, late bodies, calls in turn

The stand-in list can answer calls late (a delay, a drawn jitter, events after the head, calls served in turn at a cost each) and end all its streams. The fault list_slow plays it; the judge excuses news only until the first call is answered, 4 s at least.

--- a/bench/faults/injector.py
+++ b/bench/faults/injector.py
@@ -4,6 +4,11 @@
 
 from fleet import Fleet
 
+# What a list that broke off would have told counts as told so long after it did; milliseconds.
+LIST_TOLD_MS = 4000
+# From the end of a stream to the call that follows, with its backoff; milliseconds.
+LIST_CALL_MS = 1000
+
 
 class FaultInjector(Fleet):
     """A fleet that faults are played on. What ends later is put on `timed`; the records say when each came and went."""
@@ -206,6 +211,17 @@
         self.fault(["list"], "silent")
         self.after(fault["for_ms"], self.list_good)
 
+    def do_list_slow(self, fault):
+        """All streams end, and for for_ms calls are answered late: a jitter a call, and a late body or a queue."""
+        pace = [fault.get(key, 0) for key in ("delay_ms", "jitter_ms", "body_ms", "per_call_ms")]
+        self.bulletin.say("answer " + " ".join(f"{ms:.0f}" for ms in pace))
+        self.bulletin.say("end")
+        self.fault(["list"], "slow")
+        # The first call is answered by then; what is told from then on is due in time, however slow later calls are.
+        queue_ms = pace[3] * len(self.managers)
+        self.after(max(LIST_TOLD_MS, sum(pace[:3]) + queue_ms + LIST_CALL_MS), self.healed, ["list"], "list")
+        self.after(fault["for_ms"], self.bulletin.say, "answer 0 0 0 0")
+
     def list_good(self):
         self.bulletin.say("lag 0")
         self.healed(["list"], "list")
--- a/bench/faults/scenario.cpp
+++ b/bench/faults/scenario.cpp
@@ -34,7 +34,8 @@
                             {"drain", "on"},
                             {"gone", "on"},
                             {"list_lag", "delay_ms for_ms"},
-                            {"list_silent", "for_ms"}};
+                            {"list_silent", "for_ms"},
+                            {"list_slow", "delay_ms for_ms"}};
 
 // Drawn from the seed, so that each scenario is played under every group over three seeds in a row.
 constexpr const char* kGroups[] = {"all", "zone", "cell"};
@@ -173,7 +174,8 @@
   for (const json& fault : scenario.at("faults")) {
     Drawing drawing(scenario.at("fleet"), seed, ++stream);
     json drawn = fault;
-    for (const char* field : {"at_ms", "for_ms", "delay_ms", "jitter_ms", "again_after_ms"}) {
+    for (const char* field :
+         {"at_ms", "for_ms", "delay_ms", "jitter_ms", "body_ms", "per_call_ms", "again_after_ms"}) {
       if (fault.contains(field)) drawn[field] = drawing.Number(fault[field]);
     }
     if (fault.contains("when"))
--- a/bench/faults/soak_plan.py
+++ b/bench/faults/soak_plan.py
@@ -115,6 +115,27 @@
             self.hold([m], now + 2.5)
 
 
+def slow_discovery(seed, length_s):
+    """In two of three seeds discovery ends its streams and answers late for a while; drawn apart from all else."""
+    drawn = random.Random(f"slow discovery {seed}")
+    if seed % 3 == 1:
+        return []
+    kind = drawn.choice(("steady", "drawn", "late body", "queue"))
+    slow = {
+        "do": "list_slow",
+        "at_ms": drawn.randint(500, 3000),
+        "for_ms": round(1000 * length_s * drawn.uniform(0.3, 0.9)),
+        "delay_ms": drawn.choice((1600, 1800, 2500, 4000)) if kind == "steady" else 0,
+    }
+    if kind == "drawn":
+        slow["jitter_ms"] = drawn.choice((2000, 5000))
+    if kind == "late body":
+        slow["body_ms"] = drawn.choice((1200, 2000, 3500))
+    if kind == "queue":
+        slow["per_call_ms"] = drawn.choice((200, 600))
+    return [slow]
+
+
 def draw(seed, length_s):
     """The plan of a soak, as bench/faults/play.py takes it; equal seeds and lengths give equal plans."""
     soak = Draw(seed, length_s)
@@ -132,5 +153,6 @@
     while now < length_s - LAST_EVENT_S:
         soak.random.choice(kinds)(now)
         now += 0.5 + 2.5 * soak.random.random()
+    soak.faults += slow_discovery(seed, length_s)
     soak.faults.sort(key=lambda fault: fault["at_ms"])
     return {"name": "soak", "seed": seed, "fleet": soak.fleet, "faults": soak.faults}
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -48,7 +48,16 @@
 
     def test_many_seeds_play_each_kind(self):
         kinds = {fault["do"] for seed in range(1, 40) for fault in soak_plan.draw(seed, 30)["faults"]}
-        self.assertLessEqual({"terminate", "signal", "crowd", "reset", "half", "die", "drain", "stop"}, kinds)
+        self.assertLessEqual(
+            {"terminate", "signal", "crowd", "reset", "half", "die", "drain", "stop", "list_slow"}, kinds
+        )
+
+    def test_discovery_is_slow_in_each_way_and_other_draws_do_not_depend_on_it(self):
+        slow = [fault for seed in range(1, 60) for fault in soak_plan.slow_discovery(seed, 30)]
+        for key in ("delay_ms", "jitter_ms", "body_ms", "per_call_ms"):
+            self.assertTrue(any(fault.get(key, 0) >= 200 for fault in slow), key)
+        for seed in (2, 3, 5, 11):
+            self.assertEqual(len([f for f in soak_plan.draw(seed, 12)["faults"] if f["do"] == "list_slow"]), 1)
 
 
 class Input(unittest.TestCase):
