Share the reading of discovery calls between the two scripted lists of the tests

ScriptedList and SlowList read a client's call and noticed its end with the same lines. Both use tests/discovery_calls.h now; no test changes.

--- a/tests/scripted_list.h
+++ b/tests/scripted_list.h
@@ -11,7 +11,6 @@
 
 #include <atomic>
 #include <chrono>
-#include <cstdlib>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -19,6 +18,7 @@
 #include <utility>
 #include <vector>
 
+#include "discovery_calls.h"
 #include "story.h"
 
 namespace cluster_manager::story {
@@ -106,14 +106,9 @@
     }
   }
   void ReadCall(Stream* stream) {
-    char bytes[1024];
-    const ssize_t received = ::recv(stream->socket, bytes, sizeof bytes, MSG_DONTWAIT);
-    if (received > 0) stream->request.append(bytes, static_cast<std::size_t>(received));
-    if (stream->last_sent > 0 || stream->request.find("\r\n\r\n") == std::string::npos) return;
-    constexpr std::string_view kLast = "Last-Event-ID: ";
-    const std::size_t at = stream->request.find(kLast);
-    if (at == std::string::npos) return;
-    stream->last_sent = std::atoi(stream->request.c_str() + at + kLast.size());
+    if (!ReadCallHead(stream->socket, &stream->request) || stream->last_sent > 0) return;
+    stream->last_sent = LastEventId(stream->request);
+    if (stream->last_sent == 0) return;
     Send(stream->socket, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n:\n\n");
     SendMissing(stream);
   }
@@ -131,12 +126,6 @@
       text.remove_prefix(static_cast<std::size_t>(sent));
     }
   }
-  static bool HasEnded(int socket) {
-    char byte = 0;
-    const ssize_t received = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-  }
-
   Port* port_;
   std::mutex mutex_;  // guards the members below
   std::vector<std::string> events_;
--- a/tests/slow_list.h
+++ b/tests/slow_list.h
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cerrno>
 #include <chrono>
 #include <deque>
 #include <functional>
@@ -22,6 +21,7 @@
 #include <vector>
 
 #include "crossing_discovery.h"
+#include "discovery_calls.h"
 
 namespace cluster_manager::story {
 
@@ -120,15 +120,9 @@
     stream->due = now + kCommentInterval;
   }
   bool ReadCall(Stream* stream, SteadyTime now) {
-    char bytes[1024];
-    const ssize_t received = ::recv(stream->socket, bytes, sizeof bytes, MSG_DONTWAIT);
-    if (received > 0) stream->request.append(bytes, static_cast<std::size_t>(received));
-    if (stream->request.find("\r\n\r\n") == std::string::npos) return false;
-    constexpr std::string_view kLast = "Last-Event-ID: ";
-    const std::size_t at = stream->request.find(kLast);
-    const int last = at == std::string::npos ? 0 : std::atoi(stream->request.c_str() + at + kLast.size());
+    if (!ReadCallHead(stream->socket, &stream->request)) return false;
     stream->called = true;
-    stream->answer = answer_(++calls_, last);
+    stream->answer = answer_(++calls_, LastEventId(stream->request));
     stream->due =
         now + (stream->answer.pieces.empty() ? kCommentInterval : stream->answer.pieces.front().delay);
     return true;
@@ -137,12 +131,6 @@
     const ssize_t sent = ::send(socket, text.data(), text.size(), MSG_NOSIGNAL);
     if (sent > 0) bytes_sent_ += static_cast<std::size_t>(sent);
   }
-  static bool HasEnded(int socket) {
-    char byte = 0;
-    const ssize_t received = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-  }
-
   Port* port_;
   Answer answer_;
   std::list<Stream> streams_;
