--- a/tests/slow_discovery_test.cpp
+++ b/tests/slow_discovery_test.cpp
@@ -53,6 +53,7 @@
   });
 }
 
+// Guards against a limit that grows more slowly than the answers do, so that each call is closed too soon.
 TEST_CASE_FIXTURE(SlowDiscoveryFixture, "discovery whose answers take longer with each call is heard") {
   InBothForms([&](const json& settings) {
     Start(settings);
@@ -64,6 +65,8 @@
   });
 }
 
+// Guards against hearing a slow service only once: each event needs a new call, whose answer may be late
+// again.
 TEST_CASE_FIXTURE(SlowDiscoveryFixture,
                   "discovery whose answers take a drawn time is heard after each loss") {
   InBothForms([&](const json& settings) {
@@ -84,6 +87,8 @@
   });
 }
 
+// Guards against taking the response head, or a first comment, for the answer: the events behind it are late
+// on every call, and each stream was closed before they came.
 TEST_CASE_FIXTURE(SlowDiscoveryFixture, "a prompt response head or greeting with late events is heard") {
   InBothForms([&](const json& settings) {
     std::string prompt(kStreamHead);
@@ -124,6 +129,8 @@
   });
 }
 
+// Guards against waiting for lost calls alone: the newer calls were closed before a slow service answered
+// them.
 TEST_CASE_FIXTURE(SlowDiscoveryFixture, "slow discovery is heard although its first calls were lost") {
   InBothForms([&](const json& settings) {
     Start(settings);
@@ -136,6 +143,8 @@
   });
 }
 
+// Guards against patience with slow services that delays the next call after a stream has really fallen
+// silent.
 TEST_CASE_FIXTURE(SlowDiscoveryFixture,
                   "a stream that has fallen silent is replaced before the 4 s are over") {
   InBothForms([&](const json& settings) {
@@ -173,6 +182,7 @@
   });
 }
 
+// Guards against giving up each call to the new address of discovery before a slow service answers it.
 TEST_CASE_FIXTURE(SlowDiscoveryFixture, "slow discovery at an address that a reload brings is heard") {
   Port new_discovery;
   StartAndServeList();
